--- /dev/null
+++ b/src/core/leader_machines.cpp
@@ -0,0 +1,308 @@
+#include "core/leader.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/leader_parts.hpp"
+#include "settings/constants.hpp"
+
+namespace hitchfront::core {
+using namespace settings;
+using portfolio::Size;
+
+void Leader::set_types(const std::vector<wire::MachineType>& types) {
+  const bool first = types_.empty();
+  // Indices stay: a type once known keeps its place, new ones are appended.
+  for (const auto& t : types) {
+    const int i = type_index(t.name);
+    if (i >= 0)
+      types_[static_cast<std::size_t>(i)] = t;
+    else
+      types_.push_back(t);
+  }
+  for (std::size_t i = 0; i < types_.size(); ++i)
+    for (const auto& zone : types_[i].zones) {
+      const int z = zone_index(zone);
+      if (z < 0) continue;
+      for (const bool spot : {true, false}) {
+        const auto& t = types_[i];
+        portfolio::Offer o;
+        o.type = static_cast<int>(i);
+        o.zone = z;
+        o.spot = spot;
+        o.size = {t.cpus, t.gpus, t.memory_gb};
+        o.price = spot ? t.spot_price : t.price;
+        o.boot_s = t.boot_s;
+        o.fetch_gb_per_s = t.fetch_gb_per_s;
+        auto it = std::find_if(offers_.begin(), offers_.end(), [&](const auto& x) {
+          return x.type == o.type && x.zone == o.zone && x.spot == o.spot;
+        });
+        if (it != offers_.end()) {
+          *it = o;
+        } else {
+          offers_.push_back(o);
+          offer_blocked_.push_back(0);
+        }
+      }
+    }
+  for (auto& [id, job] : jobs_) resolve(*job);
+  if (first) dirty_ = true;
+}
+
+Leader::Machine* Leader::add_machine(Ms now, const std::string& name, const std::string& type,
+                                     const std::string& zone, bool spot) {
+  const int t = type_index(type);
+  if (t < 0) return nullptr;
+  auto m = std::make_unique<Machine>();
+  m->name = name;
+  m->type = t;
+  m->zone = zone_index(zone);
+  m->spot = spot;
+  const auto& mt = types_[static_cast<std::size_t>(t)];
+  m->whole = m->room = {mt.cpus, mt.gpus, mt.memory_gb};
+  m->born = m->idle_since = m->known = now;
+  auto* p = m.get();
+  machines_[name] = std::move(m);
+  return p;
+}
+
+void Leader::forget_machine(const std::string& name) {
+  auto it = machines_.find(name);
+  if (it == machines_.end()) return;
+  if (it->second->held) out_.reply(*it->second->held, 503, wire::error_body("machine returned"));
+  machines_.erase(it);
+  if (tombstones_.insert(name).second) tombstone_order_.push_back(name);
+  if (tombstone_order_.size() > kTombstones) {
+    tombstones_.erase(tombstone_order_.front());
+    tombstone_order_.pop_front();
+  }
+}
+
+bool Leader::can_call_cloud(Ms now) {
+  if (!cloud_.can(now, 1)) return false;
+  cloud_.take(1);
+  return true;
+}
+
+void Leader::cloud_round(Ms now) {
+  if (now < next_cloud_ || !loaded_ || types_.empty() || !may_act(now)) return;
+  next_cloud_ = now + kCloudRoundMs;
+  consolidate(now);
+  give_back(now);
+  rent(now);
+  if (now >= next_list_ && !listing_) {
+    next_list_ = now + kListMs;
+    listing_ = true;
+    list(now, "");
+  }
+}
+
+void Leader::rent(Ms now) {
+  for (auto& r : rentals_)
+    if (!r.in_flight && now >= r.retry_at) send_rental(now, r);
+  auto s = snapshot(now);
+  if (s.queue.empty()) return;
+  const auto wanted = portfolio::rents_now(s, policy_, params_);
+  for (std::size_t i = 0; i < wanted.size(); ++i) {
+    if (wanted[i] == 0) continue;
+    rentals_.push_back({"r-" + std::to_string(term_) + "-" + std::to_string(next_rental_++), i, wanted[i],
+                        false, now});
+    send_rental(now, rentals_.back());
+  }
+}
+
+void Leader::send_rental(Ms now, Rental& r) {
+  if (!can_call_cloud(now)) return;
+  const auto& o = offers_[r.offer];
+  r.in_flight = true;
+  HttpCall c;
+  c.target = Target::cloud;
+  c.method = Method::post;
+  c.path = "/machines";
+  const auto& type = types_[static_cast<std::size_t>(o.type)].name;
+  const auto& zone = zones_[static_cast<std::size_t>(o.zone)];
+  c.body = wire::rent_request(r.name, type, zone, o.spot, r.count);
+  c.timeout_ms = kCloudTimeoutMs;
+  out_.call(std::move(c), mine([this, name = r.name, type, zone](Ms t, int status, std::string_view body) {
+    auto it = std::find_if(rentals_.begin(), rentals_.end(), [&](const Rental& x) { return x.name == name; });
+    if (it == rentals_.end()) return;
+    it->in_flight = false;
+    const bool spot = offers_[it->offer].spot;
+    if (status == 200) {
+      if (auto names = wire::parse_rented(body)) {
+        for (const auto& n : *names)
+          if (!machines_.contains(n) && !tombstones_.contains(n)) add_machine(t, n, type, zone, spot);
+        log(Level::info, "rented " + std::to_string(names->size()) + " of " + std::to_string(it->count) + " " +
+                             type + " in " + zone + (spot ? " (spot)" : ""));
+        // Partly filled: there is no more of it for now.
+        if (names->size() < it->count) offer_blocked_[it->offer] = t + kNoCapacityMs;
+      }
+      rentals_.erase(it);
+    } else if (status == 503 && body.find("no capacity") != std::string_view::npos) {
+      offer_blocked_[it->offer] = t + kNoCapacityMs;
+      log(Level::info, "no capacity for " + type + " in " + zone + (spot ? " (spot)" : ""));
+      rentals_.erase(it);
+    } else if (status == 400) {
+      log(Level::error, "the cloud calls a rental request malformed: " + type + " in " + zone);
+      offer_blocked_[it->offer] = t + kTypesMs;
+      rentals_.erase(it);
+    } else {
+      // Unknown or refused for now: the same name again, so that nothing is rented twice.
+      it->retry_at = t + kCloudRoundMs;
+    }
+  }));
+}
+
+// How long an idle machine is worth keeping: the cheaper it is next to the dearest of its type, the
+// longer, for what would replace it may be the dear one, after a boot.
+Ms Leader::keep_ms(const Machine& m) const {
+  if (m.type < 0) return 0;
+  const auto& t = types_[static_cast<std::size_t>(m.type)];
+  const double ratio = m.spot && t.spot_price > 0 ? t.price / t.spot_price : 1;
+  return static_cast<Ms>(kKeepS * 1000 * (ratio * ratio - 1));
+}
+
+// Nothing waits, and a dear machine is kept by a few tasks that can save: they move to machines that
+// stay anyway, one machine at a time. Tasks keep their progress but for the time to save.
+void Leader::consolidate(Ms now) {
+  for (const auto& [id, job] : jobs_)
+    if (job->active() && job->waiting > 0) return;
+  Machine* best = nullptr;
+  double best_price = 0;
+  for (auto& [name, m] : machines_) {
+    if (m->emptying) return;
+    if (!usable(now, *m) || m->tasks.empty() || now - m->born < static_cast<Ms>(kLeastPaidS * 1000)) continue;
+    if (m->room.share_of(m->whole) < kNearlyEmpty) continue;
+    const bool movable = std::all_of(m->tasks.begin(), m->tasks.end(), [&](const auto& t) {
+      const auto& p = t.second;
+      const double ran = ran_s(now, p);
+      return p.stage == Stage::running && !p.stopping && p.job->spec.checkpoint_s > 0 && ran > kSettledS &&
+             (run_time(*p.job) - ran > kWorthMovingS || ran > run_time(*p.job));
+    });
+    const double price = price_of(*m);
+    if (!movable || price <= best_price) continue;
+    // Do they fit elsewhere?
+    std::vector<std::pair<Machine*, Size>> rooms;
+    for (auto& [other_name, o] : machines_)
+      if (o.get() != m.get() && usable(now, *o) && !o->tasks.empty()) rooms.push_back({o.get(), o->room});
+    const bool fits = std::all_of(m->tasks.begin(), m->tasks.end(), [&](const auto& t) {
+      const auto& job = *t.second.job;
+      for (auto& [o, room] : rooms) {
+        if (!allowed_on(job, *o) || !size_of(job.spec).fits(room)) continue;
+        room.add(size_of(job.spec), -1);
+        return true;
+      }
+      return false;
+    });
+    if (!fits) continue;
+    best = m.get();
+    best_price = price;
+  }
+  if (best == nullptr) return;
+  best->emptying = true;
+  for (auto& [key, p] : best->tasks) {
+    p.stopping = true;
+    p.grace_s = p.job->spec.save_s + kGraceSpareS;
+  }
+  log(Level::info, "moving " + std::to_string(best->tasks.size()) + " tasks off " + best->name);
+  if (!answer(now, *best, false)) stop_direct(now, *best);
+}
+
+void Leader::give_back(Ms now) {
+  if (release_in_flight_) return;
+  std::vector<std::string> names;
+  const Ms unit = static_cast<Ms>(params_.charge_unit_s * 1000);
+  for (auto& [name, m] : machines_) {
+    if (!m->releasing) {
+      const Ms age = now - m->born;
+      const auto boot = m->type < 0 ? 60.0 : types_[static_cast<std::size_t>(m->type)].boot_s;
+      // Counted from when this leader learned of it, too: after a takeover most machines are old and
+      // have not reported here yet, and returning them as stuck once cost nine running machines.
+      const bool stuck = !m->up && age > static_cast<Ms>(boot * 1000 * kStuckBoots) + kStuckMs &&
+                         now - m->known > kStuckMs + lease_ms(platform_);
+      const bool lost = m->lost && now - m->lost_at > kLostReturnMs;
+      // Its notice has run out, or nothing is left on it: once returned, its tasks are surely gone.
+      const bool taken = m->taken_at != 0 && ((m->tasks.empty() && m->reported.empty()) || now - m->last_report > kSilentMs);
+      const bool emptied = m->emptying && m->tasks.empty() && m->reported.empty();
+      const bool drained = m->draining && m->tasks.empty();
+      const bool idle = m->up && m->confirmed && !m->lost && m->tasks.empty() && m->reported.empty() &&
+                        age >= static_cast<Ms>(kLeastPaidS * 1000) - kReturnWindowMs &&
+                        unit - age % unit <= kReturnWindowMs && now - m->idle_since >= keep_ms(*m);
+      if (!(stuck || lost || taken || emptied || drained || idle || m->failed)) continue;
+      if (!m->tasks.empty() && !m->failed && !taken) continue;
+      m->releasing = true;
+      log(Level::info, "returning " + name + (stuck        ? ": never came up"
+                                              : lost       ? ": lost"
+                                              : emptied    ? ": its tasks moved"
+                                              : taken      ? ": being taken"
+                                              : m->failed  ? ": failed"
+                                              : drained    ? ": faulty"
+                                                           : ": idle"));
+    }
+    names.push_back(name);
+    if (names.size() == 100) break;
+  }
+  if (names.empty() || !can_call_cloud(now)) return;
+  release_in_flight_ = true;
+  HttpCall c;
+  c.target = Target::cloud;
+  c.method = Method::post;
+  c.path = "/machines/release";
+  c.body = wire::release_request(names);
+  c.timeout_ms = kCloudTimeoutMs;
+  out_.call(std::move(c), mine([this, names](Ms t, int status, std::string_view) {
+    release_in_flight_ = false;
+    if (status != 200) return;  // again in the next round
+    for (const auto& n : names) {
+      auto it = machines_.find(n);
+      if (it == machines_.end()) continue;
+      // The machine and everything on it is gone.
+      std::vector<TaskKey> keys;
+      for (const auto& [key, p] : it->second->tasks) keys.push_back(key);
+      for (const auto& key : keys) gone(t, *it->second, key);
+      forget_machine(n);
+    }
+    dirty_ = true;
+  }));
+}
+
+void Leader::list(Ms now, std::string after) {
+  if (!can_call_cloud(now)) {
+    listing_ = false;
+    return;
+  }
+  HttpCall c;
+  c.target = Target::cloud;
+  c.path = wire::list_path(after, 500);
+  c.timeout_ms = kCloudTimeoutMs;
+  out_.call(std::move(c), mine([this](Ms t, int status, std::string_view body) {
+    listing_ = false;
+    auto page = status == 200 ? wire::parse_machines(body) : std::nullopt;
+    if (!page) return;
+    for (const auto& l : page->machines) {
+      if (tombstones_.contains(l.name)) continue;
+      auto it = machines_.find(l.name);
+      Machine* m = it != machines_.end() ? it->second.get() : nullptr;
+      const Ms born = t - static_cast<Ms>(l.age_s * 1000);
+      if (m == nullptr) {
+        // An earlier leader's, or a rental that was carried out late: used or returned like any other.
+        m = add_machine(t, l.name, l.type, l.zone, l.spot);
+        if (m == nullptr) continue;
+        m->born = born;
+      }
+      // The age is as old as the list, so the true beginning is no later than this.
+      m->born = std::min(m->born, born);
+      if (m->addr.empty()) m->addr = l.addr;
+      if (l.status == wire::ListedMachine::Status::failed && !m->failed) {
+        m->failed = true;
+        log(Level::info, "machine " + l.name + " has failed");
+      }
+    }
+    if (page->more && !page->machines.empty()) {
+      listing_ = true;
+      list(t, page->machines.back().name);
+    }
+  }));
+}
+
+}  // namespace hitchfront::core
--- /dev/null
+++ b/src/core/leader_parts.hpp
@@ -0,0 +1,25 @@
+// What several of the leader's concerns use.
+#pragma once
+#include <cmath>
+#include <string>
+
+#include "core/leader.hpp"
+#include "settings/constants.hpp"
+
+namespace hitchfront::core {
+
+inline constexpr const char* kLivePrefix = "live/";
+inline constexpr const char* kProgPrefix = "prog/";
+
+inline portfolio::Size size_of(const wire::Job& j) { return {j.cpus, j.gpus, j.memory_gb}; }
+
+// Whose last two jobs predict the next: a team's jobs of one class. Averaged over all of a team's
+// classes, as the design has it, a prediction mixes runs of 18 s with runs of 100 s.
+inline std::string owner_of(const wire::Job& j) { return j.team + "/" + j.job_class; }
+
+// The longest that a worker's lease can last from an instant not before the sending of the report.
+inline Ms lease_ms(const settings::Platform& p) {
+  return static_cast<Ms>(std::ceil(p.lease_s * 1000 * (1 + 2 * settings::kDrift))) + settings::kLeaseMarginMs;
+}
+
+}  // namespace hitchfront::core
--- /dev/null
+++ b/src/core/leader_reports.cpp
@@ -0,0 +1,310 @@
+#include "core/leader.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/leader_parts.hpp"
+#include "settings/constants.hpp"
+
+namespace hitchfront::core {
+using namespace settings;
+using portfolio::Size;
+
+bool Leader::usable(Ms now, const Machine& m) const {
+  return m.up && m.confirmed && !m.lost && !m.draining && !m.emptying && !m.releasing && !m.failed && m.taken_at == 0 &&
+         now - m.last_report < kSilentMs;
+}
+
+void Leader::report(Ms now, std::uint64_t request, wire::Report report, Way way) {
+  auto* r = &report;
+  if (!may_act(now)) return out_.reply(request, 503, wire::error_body("no leader"));
+  if (way == Way::direct)
+    last_direct_ = now;
+  else if (r->zone == platform_.zone)
+    last_detour_ = now;
+  if (tombstones_.contains(r->machine))
+    return out_.reply(request, 503, wire::error_body("machine returned"));
+  if (!loaded_) {
+    // Keeps the worker's lease alive. Its tasks are in doubt until its next report, and the answer
+    // lets them live on for a lease from now: the doubt has to last as long.
+    doubt_over_ = std::max(doubt_over_, now + lease_ms(platform_));
+    return out_.reply(request, 200, wire::report_answer(term_, {}));
+  }
+  auto it = machines_.find(r->machine);
+  Machine* m = it != machines_.end() ? it->second.get() : nullptr;
+  if (m == nullptr) {
+    m = add_machine(now, r->machine, r->type, r->zone, r->spot);
+    if (m == nullptr) return out_.reply(request, 503, wire::error_body("machine type not known yet"));
+    m->born = now;
+    log(Level::info, "machine " + r->machine + " reports (" + r->type + ", " + r->zone +
+                         (r->spot ? ", spot)" : ")"));
+  }
+  // The newest report once more, by another way: the answer to the first copy got lost. Renewing the
+  // lease is all it needs; a launch in the lost answer shows as absent in the next report.
+  if (way == Way::store && r->session == m->session && r->seq == m->seq && !m->lost && m->lost_session < r->session) {
+    m->lease_over = std::max(m->lease_over, m->last_report + lease_ms(platform_));
+    return out_.reply(request, 200, wire::report_answer(term_, {}));
+  }
+  // Delayed in the network: its task list is old, and the worker has given up on it.
+  if (r->session < m->session || (r->session == m->session && r->seq <= m->seq))
+    return out_.reply(request, 503, wire::error_body("stale report"));
+  // Its lease was declared over, and its tasks may run elsewhere by now: an answer would revive it.
+  if (m->lost_session != 0 && r->session <= m->lost_session)
+    return out_.reply(request, 503, wire::error_body("lease over"));
+
+  if (m->held) {
+    out_.reply(*m->held, 503, wire::error_body("superseded"));
+    m->held.reset();
+  }
+  if (r->session > m->session && m->session != 0) {
+    // A new session begins without tasks.
+    for (auto p = m->tasks.begin(); p != m->tasks.end();) {
+      const auto key = p->first;
+      const bool sent = p->second.stage != Stage::assigned;
+      ++p;
+      if (sent) gone(now, *m, key);
+    }
+    log(Level::info, "machine " + m->name + " began session " + std::to_string(r->session));
+  }
+  if (!m->up) m->idle_since = now;
+  m->up = true;
+  m->lost = false;
+  m->addr = r->addr;
+  if (r->session > m->session || m->lease_over == 0)
+    m->lease_over = std::max({m->lease_over, doubt_over_, now + lease_ms(platform_)});
+  m->session = r->session;
+  m->seq = r->seq;
+  m->last_report = now;
+  m->confirmed = r->token == term_;
+  if (r->notice_s && m->taken_at == 0) {
+    // The notice may be half as long as announced.
+    m->taken_at = now + static_cast<Ms>(*r->notice_s * 500);
+    log(Level::info, "machine " + m->name + " will be taken within " + std::to_string(*r->notice_s) + " s");
+    for (auto p = m->tasks.begin(); p != m->tasks.end();) {
+      auto& pl = p->second;
+      const auto next = std::next(p);
+      if (pl.stage == Stage::assigned) {
+        vacate(*m, p);
+      } else if (pl.job->spec.checkpoint_s > 0) {
+        pl.stopping = true;
+        pl.grace_s = pl.job->spec.save_s + kGraceSpareS;
+      } else {
+        // It can't save: if it won't be done in time it may as well begin again elsewhere at once.
+        const double ran = ran_s(now, pl);
+        pl.stopping = run_time(*pl.job) - ran > *r->notice_s;
+      }
+      p = next;
+    }
+  }
+  take_tasks(now, *m, *r);
+  m->reported = std::move(r->tasks);
+  m->held = request;
+  m->held_since = now;
+  dirty_ = true;
+  schedule(now);
+  if (!m->held) return;
+  const bool worth_holding = usable(now, *m) && m->room.cpus >= 1 && m->room.memory_gb > 0;
+  // The way back through the store takes long enough as it is.
+  answer(now, *m, way == Way::store || !worth_holding);
+}
+
+void Leader::take_tasks(Ms now, Machine& m, const wire::Report& r) {
+  std::set<TaskKey> seen;
+  for (const auto& t : r.tasks) {
+    auto* job = find(t.job);
+    if (job == nullptr || t.task >= job->spec.tasks) continue;
+    const TaskKey key{job->index, t.task};
+    auto it = m.tasks.find(key);
+    if (t.state == wire::TaskState::ended) {
+      if (t.cause == wire::Cause::done) {
+        if (it != m.tasks.end() && it->second.run_since != 0) {
+          const double ran = static_cast<double>(now - it->second.run_since) / 1000;
+          if (job->run_count >= kPaceTasks && job->run_sum_s > 0) {
+            m.pace += kPaceWeight * (ran * job->run_count / job->run_sum_s - m.pace);
+            if (m.pace > kFaultyPace && !m.draining) {
+              m.draining = true;
+              log(Level::info, "machine " + m.name + " is far slower than its peers; it is drained and returned");
+            }
+          }
+          job->run_sum_s += ran;
+          ++job->run_count;
+        }
+        m.failed_jobs.clear();
+        completed(now, *job, t.task);
+        if (find(t.job) != job) continue;  // that was its last task
+        if (auto p = m.tasks.find(key); p != m.tasks.end()) gone(now, m, key);
+      } else if (it != m.tasks.end() && it->second.attempt == t.attempt && it->second.stage != Stage::assigned) {
+        // `busy` means that another attempt of this task is on this very machine; the report lists
+        // it too, and then it is taken up below.
+        log(Level::debug, t.job + "/" + std::to_string(t.task) + " ended on " + m.name + ", cause " +
+                              std::to_string(static_cast<int>(t.cause)));
+        gone(now, m, key);
+        if (t.cause == wire::Cause::error) failed(now, m, *job);
+        if (t.cause == wire::Cause::unknown) job->not_before = now + kFailPauseMs;
+      }
+      continue;
+    }
+    seen.insert(key);
+    if (job->phase[t.task] == TaskPhase::done) continue;  // told to stop in the answer
+    if (it == m.tasks.end()) {
+      // An earlier leader's launch, or one that was thought gone. Presence is believed from anyone.
+      Placement p;
+      p.since = now;
+      p.attempt = t.attempt;
+      p.stage = Stage::sent;
+      p.stopping = job->withdrawn;
+      occupy(m, *job, t.task, p);
+      it = m.tasks.find(key);
+    }
+    auto& p = it->second;
+    p.attempt = t.attempt;
+    switch (t.state) {
+      case wire::TaskState::fetching: p.stage = Stage::fetching; break;
+      case wire::TaskState::saving: p.stage = Stage::saving; break;
+      default:
+        if (p.run_since == 0 && p.stage != Stage::assigned) p.run_since = now;
+        p.stage = Stage::running;
+    }
+  }
+  // Absence is proved only by a report that was sent after hearing from this leader and after the
+  // worker dealt with the answer that carried the launch.
+  if (r.token != term_) return;
+  std::vector<TaskKey> absent;
+  for (const auto& [key, p] : m.tasks)
+    if (p.stage != Stage::assigned && p.sent_seq < r.seq && !seen.contains(key)) absent.push_back(key);
+  for (const auto& key : absent) gone(now, m, key);
+}
+
+void Leader::completed(Ms now, JobState& job, std::uint32_t task) {
+  if (job.phase[task] == TaskPhase::done) return;
+  if (job.phase[task] == TaskPhase::doubt) count_team(job, -1);
+  job.set(task, TaskPhase::done);
+  job.failures = 0;
+  if (job.complete() && job.run_count > 0)
+    predictor_.observe(owner_of(job.spec), job.run_sum_s / job.run_count);
+  persist(now, job);
+}
+
+void Leader::failed(Ms now, Machine& m, JobState& job) {
+  m.failed_jobs.insert(job.spec.id);
+  if (static_cast<int>(m.failed_jobs.size()) >= kFaultyJobs && !m.draining) {
+    m.draining = true;
+    log(Level::info, "machine " + m.name + " fails different jobs' tasks; it is drained and returned");
+  }
+  // The job may itself be at fault: fewer tries, but never none.
+  const int n = std::min(job.failures++, 10);
+  job.not_before = now + std::min(kFailPauseMostMs, kFailPauseMs << n);
+}
+
+// Answers the held report. Without `force` only when there is something to say.
+bool Leader::answer(Ms now, Machine& m, bool force) {
+  if (!m.held) return false;
+  // Right before the answer: past our lease another leader may have told the worker's tasks to run
+  // elsewhere.
+  if (!may_act(now)) {
+    out_.reply(*m.held, 503, wire::error_body("no leader"));
+    m.held.reset();
+    return true;
+  }
+  std::vector<wire::Command> commands;
+  for (const auto& t : m.reported) {
+    auto* job = find(t.job);
+    const bool known = job != nullptr && t.task < job->spec.tasks;
+    if (t.state == wire::TaskState::ended) {
+      // A completion is stored before the worker may forget it.
+      if (!known || t.cause != wire::Cause::done || job->stored[t.task])
+        commands.push_back({wire::Command::Op::forget, t.job, t.task, t.attempt, 0});
+      continue;
+    }
+    if (!known || job->withdrawn || job->phase[t.task] == TaskPhase::done) {
+      commands.push_back({wire::Command::Op::stop, t.job, t.task, t.attempt, 0});
+      continue;
+    }
+    auto it = m.tasks.find({job->index, t.task});
+    if (it != m.tasks.end() && it->second.stopping && t.state != wire::TaskState::saving) {
+      commands.push_back({wire::Command::Op::stop, t.job, t.task, t.attempt, it->second.grace_s});
+      it->second.stop_sent = now;
+    }
+  }
+  if (usable(now, m)) {
+    // Room as it is, tasks being stopped included: an assignment may be waiting for them to go.
+    Size room = m.whole;
+    for (auto& [key, p] : m.tasks)
+      if (p.stage != Stage::assigned) room.add(size_of(p.job->spec), -1);
+    for (auto& [key, p] : m.tasks) {
+      if (!size_of(p.job->spec).fits(room)) continue;
+      // Dropped as late as possible: a job withdrawn meanwhile starts nothing.
+      if (p.stage != Stage::assigned || !p.job->active() || p.task >= p.job->mark) continue;
+      p.stage = Stage::sent;
+      p.attempt = (term_ << kAttemptBits) | next_attempt_++;
+      p.sent_seq = m.seq;
+      p.since = now;
+      room.add(size_of(p.job->spec), -1);
+      commands.push_back({wire::Command::Op::start, p.job->spec.id, p.task, p.attempt, 0});
+    }
+  }
+  if (commands.empty() && !force) return false;
+  out_.reply(*m.held, 200, wire::report_answer(term_, commands));
+  m.held.reset();
+  // The worker counts its lease from when it sent this report, which was before we received it.
+  m.lease_over = std::max(m.lease_over, m.held_since + lease_ms(platform_));
+  return true;
+}
+
+void Leader::stop_direct(Ms now, Machine& m) {
+  if (m.addr.empty() || !may_act(now)) return;
+  std::vector<wire::Command> commands;
+  for (auto& [key, p] : m.tasks) {
+    if (!p.stopping || p.stage == Stage::assigned || p.stage == Stage::saving) continue;
+    if (p.stop_sent != 0 && now - p.stop_sent < kStopRepeatMs) continue;
+    p.stop_sent = now;
+    commands.push_back({wire::Command::Op::stop, p.job->spec.id, p.task, p.attempt, p.grace_s});
+  }
+  if (commands.empty()) return;
+  HttpCall c;
+  c.target = Target::worker;
+  c.addr = m.addr;
+  c.method = Method::post;
+  c.path = "/commands";
+  c.body = wire::direct_commands(term_, m.session, commands);
+  c.timeout_ms = kWorkerTimeoutMs;
+  // What comes of it shows in the worker's next report.
+  out_.call(std::move(c), [](Ms, int, std::string_view) {});
+}
+
+void Leader::lease_check(Ms now) {
+  if (doubt_open_ && loaded_ && now > doubt_over_) {
+    doubt_open_ = false;
+    std::vector<JobState*> withdrawn;
+    for (auto& [id, job] : jobs_) {
+      if (job->doubt == 0) continue;
+      for (std::uint32_t t = 0; t < job->spec.tasks; ++t)
+        if (job->phase[t] == TaskPhase::doubt) {
+          job->fresh = std::max(job->fresh, t + 1);
+          job->set(t, TaskPhase::waiting);
+          count_team(*job, -1);
+        }
+      if (job->withdrawn) withdrawn.push_back(job.get());
+    }
+    for (auto* j : withdrawn) persist(now, *j);
+    dirty_ = true;
+  }
+  for (auto& [name, m] : machines_) {
+    if (m->lost || !m->up || now <= m->lease_over) continue;
+    m->lost = true;
+    m->lost_at = now;
+    m->lost_session = m->session;
+    m->confirmed = false;
+    if (m->held) {
+      out_.reply(*m->held, 503, wire::error_body("lease over"));
+      m->held.reset();
+    }
+    log(Level::info, "machine " + name + " lost: its lease is over, " + std::to_string(m->tasks.size()) +
+                         " tasks go elsewhere");
+    std::vector<TaskKey> keys;
+    for (const auto& [key, p] : m->tasks) keys.push_back(key);
+    for (const auto& key : keys) gone(now, *m, key);
+  }
+}
+
+}  // namespace hitchfront::core
--- /dev/null
+++ b/src/core/leader_selection.cpp
@@ -0,0 +1,127 @@
+#include "core/leader.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/leader_parts.hpp"
+#include "settings/constants.hpp"
+
+namespace hitchfront::core {
+using namespace settings;
+
+portfolio::Snapshot Leader::snapshot(Ms now) {
+  portfolio::Snapshot s;
+  for (const auto& t : teams_)
+    s.teams.push_back({t.cpus, t.cpus_max, t.gpus_max, t.used_cpus, t.used_gpus});
+  for (const auto& [id, job] : jobs_) {
+    if (!job->active() || job->waiting == 0 || job->team < 0 || job->types == 0) continue;
+    portfolio::SimJob j;
+    j.tasks = job->waiting;
+    j.width = job->spec.tasks;
+    j.wait_s = static_cast<double>(now - job->seen) / 1000;
+    j.run_s = job->spec.form == wire::Form::service ? kReplayHorizonS : run_time(*job);
+    j.size = size_of(job->spec);
+    j.team = job->team;
+    j.priority = static_cast<int>(job->spec.priority);
+    j.image = job->image;
+    j.image_gb = job->spec.image_gb;
+    j.spot = job->spec.spot;
+    j.types = job->types;
+    j.zone = job->zone;
+    s.queue.push_back(j);
+  }
+  // The map's order is not the same in every process; the replay's must be.
+  std::sort(s.queue.begin(), s.queue.end(), [](const auto& a, const auto& b) {
+    return a.wait_s != b.wait_s ? a.wait_s > b.wait_s : a.image < b.image;
+  });
+  for (const auto& [name, m] : machines_) {
+    if (m->type < 0 || m->failed || m->releasing || m->lost) continue;
+    const auto& type = types_[static_cast<std::size_t>(m->type)];
+    portfolio::SimMachine x;
+    x.type = m->type;
+    x.zone = m->zone;
+    x.spot = m->spot;
+    x.closed = m->draining || m->taken_at != 0;
+    x.whole = m->whole;
+    x.room = m->room;
+    x.age_s = static_cast<double>(now - m->born) / 1000;
+    x.up_in_s = m->up ? 0 : std::max(1.0, type.boot_s - x.age_s);
+    x.price = price_of(*m);
+    x.fetch_gb_per_s = type.fetch_gb_per_s;
+    x.images = m->images;
+    std::map<std::uint64_t, portfolio::Running> running;
+    for (const auto& [key, p] : m->tasks) {
+      auto& r = running[key.first];
+      const double run = p.job->spec.form == wire::Form::service ? kReplayHorizonS : run_time(*p.job);
+      const double ran = ran_s(now, p);
+      const double left = left_s(run, ran);
+      r.tasks = r.end_s == 0 ? 1 : r.tasks + 1;
+      r.end_s = std::max(r.end_s, std::max(left, 0.1));
+      r.size = size_of(p.job->spec);
+      r.team = p.job->team;
+    }
+    for (auto& [index, r] : running) x.running.push_back(r);
+    s.machines.push_back(std::move(x));
+  }
+  for (const auto& r : rentals_) {
+    const auto& o = offers_[r.offer];
+    for (std::uint32_t i = 0; i < r.count; ++i) {
+      portfolio::SimMachine x;
+      x.type = o.type;
+      x.zone = o.zone;
+      x.spot = o.spot;
+      x.whole = x.room = o.size;
+      x.up_in_s = o.boot_s;
+      x.price = o.price;
+      x.fetch_gb_per_s = o.fetch_gb_per_s;
+      s.machines.push_back(std::move(x));
+    }
+  }
+  s.offers = offers_;
+  for (std::size_t i = 0; i < offers_.size(); ++i)
+    s.offers[i].room = now < offer_blocked_[i] ? 0 : 50;
+  return s;
+}
+
+// What the operators' expressions may refer to: queue_jobs, queue_tasks, machines.
+Inputs Leader::operator_inputs() const {
+  double jobs = 0, tasks = 0;
+  for (const auto& [id, job] : jobs_) {
+    if (!job->active() || job->waiting == 0) continue;
+    ++jobs;
+    tasks += job->waiting;
+  }
+  return {jobs, tasks, static_cast<double>(machines_.size())};
+}
+
+void Leader::select(Ms now) {
+  if (now < next_select_ || selector_.running() || !loaded_ || types_.empty()) return;
+  const auto inputs = operator_inputs();
+  const auto period = static_cast<Ms>(operator_.get("period", inputs) * 1000);
+  next_select_ = now + period;
+  params_.kappa = operator_.get("kappa", inputs);
+  params_.alpha = operator_.get("alpha", inputs);
+  params_.beta = operator_.get("beta", inputs);
+  params_.charge_unit_s = operator_.get("charge_unit", inputs);
+  selector_.set_lambda(operator_.get("lambda", inputs));
+  auto s = snapshot(now);
+  if (s.queue.empty()) return;  // nothing to choose by; the last choice stands
+  const double budget_ms = static_cast<double>(period) * platform_.cores * operator_.get("replay_share", inputs);
+  selector_.begin(std::move(s), budget_ms * steps_per_ms_, params_);
+}
+
+std::uint64_t Leader::replay(Ms now, std::uint64_t steps) {
+  std::uint64_t spent = 0;
+  while (selector_.running() && spent < steps) spent += selector_.step();
+  if (!selector_.running() && selector_.replayed() > 0 && !(policy_ == selector_.chosen())) {
+    policy_ = selector_.chosen();
+    log(Level::info, "policy " + portfolio::name(policy_) + ", utility " +
+                         std::to_string(selector_.chosen_utility()) + " best of " +
+                         std::to_string(selector_.replayed()) + " replayed");
+    dirty_ = true;
+    schedule(now);
+  }
+  return spent;
+}
+
+}  // namespace hitchfront::core
--- /dev/null
+++ b/src/core/leader_store.cpp
@@ -0,0 +1,128 @@
+#include "core/leader.hpp"
+
+#include "core/front.hpp"
+#include "core/leader_parts.hpp"
+#include "settings/constants.hpp"
+
+namespace hitchfront::core {
+using namespace settings;
+using Rank = StoreClient::Rank;
+
+void Leader::persist(Ms now, JobState& job) {
+  if (job.writing || now < job.write_after || !leadership_.leading()) return;
+  if (job.resync) return resync(now, job);
+  if (!job.withdrawn && job.complete()) return finish(now, job);
+  if (job.withdrawn && job.empty()) return finish(now, job);
+  std::vector<std::size_t> chunks;
+  for (std::size_t c = 0; c < job.chunks(); ++c)
+    if (job.chunk_dirty[c] && static_cast<int>(chunks.size()) < platform_.state_txn_ops - 1) chunks.push_back(c);
+  const bool mark = job.mark_wanted > job.mark && !job.withdrawn;
+  if (chunks.empty() && !mark) return;
+  wire::Txn txn;
+  txn.if_version("leader", leader_version_).if_version(live_key(job.spec.id), job.version);
+  const auto marked = job.mark_wanted;
+  if (mark)
+    txn.put(live_key(job.spec.id), wire::encode(wire::LiveRecord{job.spec, job.accepted_ms, false, marked}));
+  std::vector<std::uint32_t> written;
+  for (auto c : chunks) {
+    job.chunk_dirty[c] = false;
+    txn.if_version(job.chunk_key(c), job.chunk_version[c]).put(job.chunk_key(c), job.chunk_text(c));
+    const auto from = static_cast<std::uint32_t>(c) * kChunkTasks;
+    for (auto t = from; t < std::min(job.spec.tasks, from + kChunkTasks); ++t)
+      if (job.phase[t] == TaskPhase::done && !job.stored[t]) written.push_back(t);
+  }
+  job.writing = true;
+  store_.commit(now, Rank::leader, txn,
+                mine([this, id = job.spec.id, index = job.index, chunks, written, mark, marked](
+                         Ms t, int status, std::string_view body) {
+    auto* j = find(id);
+    if (j == nullptr || j->index != index) return;
+    j->writing = false;
+    const auto rev = status == 200 ? wire::parse_revision(body) : std::nullopt;
+    if (!rev) {
+      // 409: somebody changed the job, or we don't lead. Anything else: unknown whether it applies.
+      // Either way nothing more is written before the records have been read again.
+      j->resync = true;
+      for (auto c : chunks) j->chunk_dirty[c] = true;
+      if (status != 409) j->write_after = t + kStoreRetryMs;
+      return persist(t, *j);
+    }
+    if (mark) {
+      j->version = std::max(j->version, *rev);
+      j->mark = std::max(j->mark, marked);
+    }
+    for (auto c : chunks) j->chunk_version[c] = *rev;
+    for (auto task : written)
+      if (!j->stored[task]) {
+        j->stored[task] = true;
+        ++j->stored_done;
+      }
+    persist(t, *j);
+    for (auto& [name, m] : machines_) answer(t, *m, false);
+  }));
+}
+
+void Leader::finish(Ms now, JobState& job) {
+  wire::Txn txn;
+  const auto& id = job.spec.id;
+  txn.if_version("leader", leader_version_).if_version(live_key(id), job.version);
+  txn.put(over_key(id), wire::encode(wire::OverRecord{job.withdrawn, job.done})).drop(live_key(id));
+  for (std::size_t c = 0; c < job.chunks() && txn.writes() < platform_.state_txn_ops; ++c)
+    if (job.chunk_version[c] != 0) txn.drop(job.chunk_key(c));
+  job.writing = true;
+  store_.commit(now, Rank::leader, txn,
+                mine([this, id, index = job.index, withdrawn = job.withdrawn](Ms t, int status, std::string_view) {
+    auto* j = find(id);
+    if (j == nullptr || j->index != index) return;
+    j->writing = false;
+    if (status == 200) {
+      log(Level::info, id + (withdrawn ? " withdrawn, all its tasks are gone" : " done"));
+      remove_job(t, id);
+      for (auto& [name, m] : machines_) answer(t, *m, false);
+      return;
+    }
+    j->resync = true;
+    if (status != 409) j->write_after = t + kStoreRetryMs;
+    persist(t, *j);
+  }));
+}
+
+// Reads a job's records again after a write whose conditions failed or whose outcome is unknown.
+void Leader::resync(Ms now, JobState& job) {
+  job.writing = true;
+  const auto again = [this](JobState* j, Ms t) {
+    j->writing = false;
+    j->write_after = t + kStoreRetryMs;
+  };
+  store_.get(now, Rank::leader, live_key(job.spec.id),
+             mine([this, again, id = job.spec.id, index = job.index](Ms t, int status, std::string_view body) {
+    auto* j = find(id);
+    if (j == nullptr || j->index != index) return;
+    if (status == 404) return remove_job(t, id);  // over: our write had been applied
+    auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
+    auto record = item ? wire::decode_live(item->value) : std::nullopt;
+    if (!record) return again(j, t);
+    j->version = std::max(j->version, item->version);
+    j->mark = std::max(j->mark, record->mark);
+    if (record->withdrawn && !j->withdrawn) job_withdrawn(t, *j);
+    store_.range(t, Rank::leader, std::string(kProgPrefix) + id + "/", "",
+                 mine([this, again, id, index](Ms t2, int status2, std::string_view body2) {
+      auto* k = find(id);
+      if (k == nullptr || k->index != index) return;
+      auto page = status2 == 200 ? wire::parse_page(body2) : std::nullopt;
+      if (!page) return again(k, t2);
+      for (auto& i : page->items) {
+        const auto c = static_cast<std::size_t>(
+            std::strtoul(i.key.c_str() + i.key.rfind('/') + 1, nullptr, 10));
+        if (c >= k->chunks() || !i.value.is_string()) continue;
+        k->chunk_version[c] = i.version;
+        k->merge_chunk(c, i.value.get<std::string>());
+      }
+      k->writing = false;
+      k->resync = false;
+      persist(t2, *k);
+    }));
+  }));
+}
+
+}  // namespace hitchfront::core
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -66,6 +66,20 @@
 // ms. Time allowed for a direct command.
 inline constexpr std::int64_t kWorkerTimeoutMs = 2000;
 
+// Images of a machine's cache that are remembered; more than any cache here holds.
+inline constexpr std::size_t kImagesKnown = 16;
+// ms between looks for somebody to stop.
+inline constexpr std::int64_t kPreemptMs = 500;
+// s. A task this close to its predicted end is not stopped.
+inline constexpr double kNearlyDoneS = 4;
+// s. What a task being stopped gets beyond the time it needs to save.
+inline constexpr double kGraceSpareS = 1;
+// Free share of a machine from which its tasks may move off it.
+inline constexpr double kNearlyEmpty = 0.5;
+// s a task has run before it may move (earlier, its start would not count), and that it has still to
+// run, as far as is known.
+inline constexpr double kSettledS = 30, kWorthMovingS = 20;
+
 // ms between the leader's signs of life to the other controllers, and the silence after which one is
 // thought unreachable: three signs.
 inline constexpr std::int64_t kPingMs = 500;
