Placement, preemption and reservation look at each machine once, not once a task

Now: each machine is ranked once for a job and filled; offers for preemption likewise; placement runs once for a batch of changes, spaced by its counted work; answers only where something is to be said.

--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -8,6 +8,7 @@
 void JobState::prepare(std::size_t zones) {
   phase.assign(spec.tasks, TaskPhase::waiting);
   stored.assign(spec.tasks, false);
+  places.assign(spec.tasks, 0);
   waiting = spec.tasks;
   per_zone.assign(zones, 0);
   const auto n = (spec.tasks + kChunkTasks - 1) / kChunkTasks;
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -27,9 +27,13 @@
   std::uint32_t mark = 0;     // stored: tasks below it may have been launched
   std::uint32_t mark_wanted = 0;
   int team = -1, image = -1, zone = -1;
+  std::string owner;  // whose last jobs predict this one
+  bool owed = false;  // within its team's guarantee, with the team's earlier unfinished jobs
+  std::uint32_t running = 0;  // placements whose task runs or saves
   std::uint64_t types = 0;
 
   std::vector<TaskPhase> phase;
+  std::vector<std::uint16_t> places;  // machines that each task may be on
   std::vector<bool> stored;  // completion is in the store
   std::deque<std::uint32_t> again;  // waiting tasks below `fresh`
   std::uint32_t fresh = 0;          // tasks from here on never left `waiting`
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -137,6 +137,7 @@
     if (teams_[i].name == job.spec.team) job.team = static_cast<int>(i);
   job.zone = job.spec.zone ? zone_index(*job.spec.zone) : -1;
   job.image = image_index(job.spec.image);
+  job.owner = owner_of(job.spec);
   job.types = 0;
   for (std::size_t i = 0; i < types_.size() && i < 64; ++i)
     if (!job.spec.types ||
@@ -185,7 +186,8 @@
   job.withdrawn = true;
   log(Level::info, job.spec.id + " withdrawn");
   // Its tasks are told to stop at once, by direct command and in each answer until they are gone.
-  for (auto& [name, m] : machines_) {
+  for (auto* m : fleet_) {
+    if (job.placed == 0) break;
     bool any = false;
     for (auto it = m->tasks.lower_bound({job.index, 0}); it != m->tasks.end() && it->first.first == job.index;) {
       auto next = std::next(it);
@@ -193,7 +195,7 @@
         vacate(*m, it);
       } else {
         any = true;
-        it->second.stopping = true;
+        it->second.stopping = m->stopping = true;
         it->second.grace_s = 0;
       }
       it = next;
@@ -206,7 +208,7 @@
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   auto& job = *it->second;
-  for (auto& [name, m] : machines_)
+  for (auto* m : fleet_)
     for (auto p = m->tasks.lower_bound({job.index, 0}); p != m->tasks.end() && p->first.first == job.index;) {
       auto next = std::next(p);
       vacate(*m, p);
@@ -230,6 +232,9 @@
   p.job = &job;
   p.task = task;
   m.tasks[{job.index, task}] = p;
+  ++job.places[task];
+  if (p.stage == Stage::assigned) ++m.assigned;
+  if (p.stopping) m.stopping = true;
   m.room.add(size_of(job.spec), -1);
   count_team(job, 1);
   if (m.zone >= 0) ++job.per_zone[static_cast<std::size_t>(m.zone)];
@@ -251,13 +256,17 @@
   if (!it->second.room_given) m.room.add(size_of(job.spec), 1);
   count_team(job, -1);
   if (m.zone >= 0) --job.per_zone[static_cast<std::size_t>(m.zone)];
+  if (it->second.stage == Stage::assigned) --m.assigned;
+  if (counted(it->second.stage)) --job.running;
   m.tasks.erase(it);
   dirty_ = true;
-  if (job.phase[task] != TaskPhase::placed) return;
   // Only when it is nowhere else may the task go back to waiting.
-  for (const auto& [name, other] : machines_)
-    if (other->tasks.contains({job.index, task})) return;
-  job.set(task, TaskPhase::waiting);
+  if (--job.places[task] == 0 && job.phase[task] == TaskPhase::placed) job.set(task, TaskPhase::waiting);
+}
+
+void Leader::set_stage(Placement& p, Stage stage) {
+  if (counted(stage) != counted(p.stage)) p.job->running += counted(stage) ? 1 : -1;
+  p.stage = stage;
 }
 
 void Leader::gone(Ms now, Machine& m, TaskKey key) {
@@ -274,15 +283,12 @@
   if (it == jobs_.end() || !loaded_) return std::nullopt;
   Counts c;
   c.done = it->second->stored_done;
-  for (const auto& [name, m] : machines_)
-    for (auto p = m->tasks.lower_bound({it->second->index, 0});
-         p != m->tasks.end() && p->first.first == it->second->index; ++p)
-      if (p->second.stage == Stage::running || p->second.stage == Stage::saving) ++c.running;
+  c.running = it->second->running;
   return c;
 }
 
 void Leader::resign() {
-  for (auto& [name, m] : machines_) {
+  for (auto* m : fleet_) {
     if (m->held) out_.reply(*m->held, 503, wire::error_body("no leader"));
     m->held.reset();
   }
@@ -291,7 +297,7 @@
 void Leader::tick(Ms now) {
   if (!may_act(now)) {
     // Held reports must not wait for a lease that may not come back.
-    for (auto& [name, m] : machines_)
+    for (auto* m : fleet_)
       if (m->held) answer(now, *m, true);
   }
   lease_check(now);
@@ -308,16 +314,16 @@
       job->write_after = 0;
       persist(now, *job);
     }
-  for (const auto& [id, job] : jobs_)
-    if (job->waiting > 0 && job->active()) {
-      dirty_ = true;
-      break;
-    }
+  // Pauses that end and machines heard again change what can be placed without an event of their own.
+  if (now >= stir_at_) {
+    stir_at_ = now + kStirMs;
+    dirty_ = true;
+  }
   schedule(now);
   preempt(now);
-  for (auto& [name, m] : machines_) {
+  for (auto* m : fleet_) {
     if (m->held && now - m->held_since >= kHoldReportMs) answer(now, *m, true);
-    if (!m->tasks.empty() && !m->held) stop_direct(now, *m);
+    if (m->stopping && !m->held) stop_direct(now, *m);
   }
   cloud_round(now);
   select(now);
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -45,6 +45,8 @@
     std::uint32_t done = 0, running = 0;
   };
   std::optional<Counts> counts(const std::string& job) const;
+  // Machines and tasks looked at so far: what placement costs, whatever the processor.
+  std::uint64_t work() const { return work_; }
 
  private:
   enum class Stage : std::uint8_t { assigned, sent, fetching, running, saving };
@@ -60,6 +62,7 @@
     bool room_given = false;  // its room is promised to another task already
     double grace_s = 0;
     Ms stop_sent = 0;
+    std::uint64_t listed = 0;  // the last report that listed it, by this leader's count
   };
   using TaskKey = std::pair<std::uint64_t, std::uint32_t>;  // job index, task
   struct Machine {
@@ -75,6 +78,8 @@
     bool draining = false, releasing = false, failed = false;
     Ms born = 0, last_report = 0, lease_over = 0, lost_at = 0, taken_at = 0, idle_since = 0;
     std::uint64_t reserved_for = 0;  // job that waits for room here; set anew by each schedule()
+    std::uint32_t assigned = 0;      // placements not yet launched
+    bool stopping = false;           // some placement is, or was, to be stopped
     double pace = 1;  // its tasks' run times against their jobs' means
     Ms known = 0;  // to this leader, since
     std::optional<std::uint64_t> held;  // report waiting for its answer
@@ -129,17 +134,29 @@
   double price_of(const Machine& m) const;
   bool allowed_on(const JobState& job, const Machine& m) const;
   void schedule(Ms now);
+  void place(Ms now);
+  bool in_limit(const JobState& job) const;  // one more task of it
   bool zone_allows(const JobState& job, int zone) const;
-  Machine* choose(Ms now, const JobState& job);
-  void reserve(Ms now, const JobState& job);
+  // When tasks are expected to end, worked out once a placement for each machine that asks.
+  struct Ends {
+    struct Of {
+      bool known = false;
+      std::vector<std::pair<double, portfolio::Size>> tasks;
+    };
+    std::vector<Machine*> unreserved;
+    std::unordered_map<const Machine*, Of> of;
+  };
+  void reserve(Ms now, const JobState& job, Ends& ends);
   void assign(Ms now, JobState& job, Machine& m, std::uint32_t task);
-  std::unordered_set<std::uint64_t> guaranteed_jobs() const;
+  void mark_owed();
+  void fill(Ms now, JobState& job, std::vector<Machine*>& open);
+  void set_stage(Placement& p, Stage stage);
+  static bool counted(Stage s) { return s == Stage::running || s == Stage::saving; }
   void select(Ms now);
   settings::Inputs operator_inputs() const;
   portfolio::Snapshot snapshot(Ms now);
   void preempt(Ms now);
-  double loss_of(Ms now, const Placement& p, const JobState& job, bool owed,
-                 const std::unordered_set<std::uint64_t>& guaranteed) const;
+  double loss_of(Ms now, const Placement& p, const JobState& job) const;
 
   // machines
   void cloud_round(Ms now);
@@ -194,6 +211,7 @@
   std::vector<Team> teams_;
   std::unordered_map<std::string, std::unique_ptr<JobState>> jobs_;
   std::map<std::string, std::unique_ptr<Machine>> machines_;
+  std::vector<Machine*> fleet_;  // the same, for walking through
   std::unordered_set<std::string> tombstones_;
   std::deque<std::string> tombstone_order_;
   std::vector<portfolio::Offer> offers_;
@@ -207,6 +225,8 @@
   portfolio::Predictor predictor_;
   portfolio::Policy policy_;
   double steps_per_ms_ = 2000;
+  std::uint64_t work_ = 0, reports_ = 0;
+  Ms next_place_ = 0, stir_at_ = 0;
 };
 
 }  // namespace hitchfront::core
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -63,6 +63,7 @@
   m->born = m->idle_since = m->known = now;
   auto* p = m.get();
   machines_[name] = std::move(m);
+  fleet_.push_back(p);
   return p;
 }
 
@@ -70,6 +71,7 @@
   auto it = machines_.find(name);
   if (it == machines_.end()) return;
   if (it->second->held) out_.reply(*it->second->held, 503, wire::error_body("machine returned"));
+  std::erase(fleet_, it->second.get());
   machines_.erase(it);
   if (tombstones_.insert(name).second) tombstone_order_.push_back(name);
   if (tombstone_order_.size() > kTombstones) {
@@ -169,7 +171,7 @@
     if (job->active() && job->waiting > 0) return;
   Machine* best = nullptr;
   double best_price = 0;
-  for (auto& [name, m] : machines_) {
+  for (auto* m : fleet_) {
     if (m->emptying) return;
     if (!usable(now, *m) || m->tasks.empty() || now - m->born < static_cast<Ms>(kLeastPaidS * 1000)) continue;
     if (m->room.share_of(m->whole) < kNearlyEmpty) continue;
@@ -183,8 +185,8 @@
     if (!movable || price <= best_price) continue;
     // Do they fit elsewhere?
     std::vector<std::pair<Machine*, Size>> rooms;
-    for (auto& [other_name, o] : machines_)
-      if (o.get() != m.get() && usable(now, *o) && !o->tasks.empty()) rooms.push_back({o.get(), o->room});
+    for (auto* o : fleet_)
+      if (o != m && usable(now, *o) && !o->tasks.empty()) rooms.push_back({o, o->room});
     const bool fits = std::all_of(m->tasks.begin(), m->tasks.end(), [&](const auto& t) {
       const auto& job = *t.second.job;
       for (auto& [o, room] : rooms) {
@@ -195,11 +197,12 @@
       return false;
     });
     if (!fits) continue;
-    best = m.get();
+    best = m;
     best_price = price;
   }
   if (best == nullptr) return;
   best->emptying = true;
+  best->stopping = true;
   for (auto& [key, p] : best->tasks) {
     p.stopping = true;
     p.grace_s = p.job->spec.save_s + kGraceSpareS;
@@ -212,7 +215,7 @@
   if (release_in_flight_) return;
   std::vector<std::string> names;
   const Ms unit = static_cast<Ms>(params_.charge_unit_s * 1000);
-  for (auto& [name, m] : machines_) {
+  for (auto* m : fleet_) {
     if (!m->releasing) {
       const Ms age = now - m->born;
       const auto boot = m->type < 0 ? 60.0 : types_[static_cast<std::size_t>(m->type)].boot_s;
@@ -231,7 +234,7 @@
       if (!(stuck || lost || taken || emptied || drained || idle || m->failed)) continue;
       if (!m->tasks.empty() && !m->failed && !taken) continue;
       m->releasing = true;
-      log(Level::info, "returning " + name + (stuck        ? ": never came up"
+      log(Level::info, "returning " + m->name + (stuck        ? ": never came up"
                                               : lost       ? ": lost"
                                               : emptied    ? ": its tasks moved"
                                               : taken      ? ": being taken"
@@ -239,7 +242,7 @@
                                               : drained    ? ": faulty"
                                                            : ": idle"));
     }
-    names.push_back(name);
+    names.push_back(m->name);
     if (names.size() == 100) break;
   }
   if (names.empty() || !can_call_cloud(now)) return;
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -30,26 +30,26 @@
 double Leader::run_time(const JobState& job) const {
   // Tasks of this very job that have completed tell more than other jobs do.
   if (job.run_count > 0) return std::max(1.0, job.run_sum_s / job.run_count);
-  return std::max(1.0, predictor_.predict(owner_of(job.spec), job.spec.estimate_s));
+  return std::max(1.0, predictor_.predict(job.owner, job.spec.estimate_s));
 }
 
 // Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
-std::unordered_set<std::uint64_t> Leader::guaranteed_jobs() const {
-  std::vector<const JobState*> order;
-  for (const auto& [id, job] : jobs_)
+void Leader::mark_owed() {
+  std::vector<JobState*> order;
+  for (const auto& [id, job] : jobs_) {
+    job->owed = false;
     if (job->active() && job->team >= 0) order.push_back(job.get());
+  }
   std::sort(order.begin(), order.end(), [](const JobState* a, const JobState* b) {
     return a->accepted_ms != b->accepted_ms ? a->accepted_ms < b->accepted_ms : a->spec.id < b->spec.id;
   });
   std::vector<double> cpus(teams_.size()), gpus(teams_.size());
-  std::unordered_set<std::uint64_t> out;
-  for (const auto* j : order) {
+  for (auto* j : order) {
     const auto t = static_cast<std::size_t>(j->team);
     cpus[t] += j->spec.cpus * j->unfinished();
     gpus[t] += j->spec.gpus * j->unfinished();
-    if (cpus[t] <= teams_[t].cpus + 1e-9 && gpus[t] <= teams_[t].gpus + 1e-9) out.insert(j->index);
+    j->owed = cpus[t] <= teams_[t].cpus + 1e-9 && gpus[t] <= teams_[t].gpus + 1e-9;
   }
-  return out;
 }
 
 bool Leader::zone_allows(const JobState& job, int zone) const {
@@ -67,79 +67,104 @@
   return true;
 }
 
+bool Leader::in_limit(const JobState& job) const {
+  constexpr double eps = 1e-9;
+  const auto& team = teams_[static_cast<std::size_t>(job.team)];
+  return team.used_cpus + job.spec.cpus <= team.cpus_max + eps &&
+         (job.spec.gpus <= 0 || team.used_gpus + job.spec.gpus <= team.gpus_max + eps);
+}
+
 // The paper has one machine type, idle whole; here machines differ in price and take several tasks.
-// Slow machines are used last. The cheaper machine goes first, so that dearer ones run empty and can be returned; then one that
-// has the image; then the policy. First fit, which makes no distinction, takes the fullest.
-Leader::Machine* Leader::choose(Ms now, const JobState& job) {
-  Machine* best = nullptr;
+// Slow machines are used last. The cheaper machine goes first, so that dearer ones run empty and can be
+// returned; then one that has the image; then the policy. First fit, which makes no distinction, takes
+// the fullest. A machine's merit for a job does not fall as the job's tasks fill it, so each is ranked
+// once and filled before the next: the same places as looking at every machine for each task.
+void Leader::fill(Ms now, JobState& job, std::vector<Machine*>& open) {
   struct Merit {
-    bool slow;
-    double price;
-    bool image;
-    double policy;
-  } best_merit{};
+    bool slow, far;  // far: without the image
+    double price, policy;
+    std::uint32_t at;
+  };
   const Size size = size_of(job.spec);
   const double run = run_time(job);
-  for (auto& [name, m] : machines_) {
-    if (!usable(now, *m) || !size.fits(m->room)) continue;
-    if (!allowed_on(job, *m)) continue;
-    if (m->reserved_for != 0 && m->reserved_for != job.index) continue;
+  if (!in_limit(job)) return;
+  // A job whose tasks fail gets one machine's worth of tries at a time.
+  std::uint32_t tries = job.failures > 2 ? 1 : job.waiting;
+  std::vector<Merit> merits;
+  for (std::uint32_t i = 0; i < open.size(); ++i) {
+    const auto* m = open[i];
+    if (!size.fits(m->room) || (m->reserved_for != 0 && m->reserved_for != job.index) || !allowed_on(job, *m)) continue;
     Merit r{};
     r.slow = m->pace > kSlowPace;
     r.price = price_of(*m) * size.share_of(m->whole);
-    r.image = std::find(m->images.begin(), m->images.end(), job.image) != m->images.end();
+    r.far = std::find(m->images.begin(), m->images.end(), job.image) == m->images.end();
     if (policy_.choose == portfolio::Choose::first_fit) {
       r.policy = m->room.share_of(m->whole);
     } else {
       r.policy = portfolio::left_after(static_cast<double>(now - m->born) / 1000, run, params_.charge_unit_s);
       if (policy_.choose == portfolio::Choose::worst_fit) r.policy = -r.policy;
     }
-    const bool better = best == nullptr || (r.slow != best_merit.slow ? best_merit.slow
-                                            : std::abs(r.price - best_merit.price) > 1e-9
-                                                ? r.price < best_merit.price
-                                            : r.image != best_merit.image ? r.image
-                                                                          : r.policy < best_merit.policy);
-    if (!better) continue;
-    best = m.get();
-    best_merit = r;
+    r.at = i;
+    merits.push_back(r);
+  }
+  work_ += open.size() + merits.size();
+  const auto worse = [](const Merit& a, const Merit& b) {
+    if (a.slow != b.slow) return a.slow;
+    if (std::abs(a.price - b.price) > 1e-9) return a.price > b.price;
+    if (a.far != b.far) return a.far;
+    if (a.policy != b.policy) return a.policy > b.policy;
+    return a.at > b.at;
+  };
+  std::make_heap(merits.begin(), merits.end(), worse);
+  while (!merits.empty() && tries > 0) {
+    std::pop_heap(merits.begin(), merits.end(), worse);
+    auto& m = *open[merits.back().at];
+    merits.pop_back();
+    // Zones may have closed to the job with its own last task.
+    while (tries > 0 && size.fits(m.room) && in_limit(job) && allowed_on(job, m)) {
+      const auto task = job.next_waiting();
+      if (task < 0) return;
+      assign(now, job, m, static_cast<std::uint32_t>(task));
+      --tries;
+      ++work_;
+    }
+    if (!in_limit(job)) return;
   }
-  return best;
 }
 
 // Work within a guarantee that finds no room has machines kept for it, those that will have room
 // first: otherwise small tasks of later jobs take every piece of room as it comes free, and a task
 // that needs a whole machine waits for as long as they keep arriving.
-void Leader::reserve(Ms now, const JobState& job) {
+void Leader::reserve(Ms now, const JobState& job, Ends& ends) {
   const Size size = size_of(job.spec);
-  std::uint32_t need = job.waiting;
-  while (need > 0) {
-    Machine* best = nullptr;
-    double best_at = 0;
-    for (auto& [name, m] : machines_) {
-      if (m->reserved_for != 0 || !usable(now, *m) || !size.fits(m->whole)) continue;
-      if (!allowed_on(job, *m)) continue;
-      std::vector<std::pair<double, Size>> ends;
-      for (const auto& [key, p] : m->tasks) {
-        const double run = run_time(*p.job);
-        const double ran = ran_s(now, p);
-        ends.push_back({left_s(run, ran), size_of(p.job->spec)});
-      }
-      std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-      Size room = m->room;
-      double when = 0;
-      for (const auto& [end, s] : ends) {
-        if (size.fits(room)) break;
-        room.add(s);
-        when = end;
-      }
-      if (best != nullptr && when >= best_at) continue;
-      best = m.get();
-      best_at = when;
+  std::vector<std::pair<double, Machine*>> soonest;
+  for (auto* m : ends.unreserved) {
+    if (!size.fits(m->whole) || !allowed_on(job, *m)) continue;
+    auto& e = ends.of[m];
+    if (!e.known) {
+      e.known = true;
+      for (const auto& [key, p] : m->tasks) e.tasks.push_back({left_s(run_time(*p.job), ran_s(now, p)), size_of(p.job->spec)});
+      std::sort(e.tasks.begin(), e.tasks.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+      work_ += e.tasks.size();
     }
-    if (best == nullptr) return;
-    best->reserved_for = job.index;
-    need -= std::min(need, std::max(1U, size.count_in(best->whole)));
+    Size room = m->room;
+    double when = 0;
+    for (const auto& [end, s] : e.tasks) {
+      if (size.fits(room)) break;
+      room.add(s);
+      when = end;
+    }
+    soonest.push_back({when, m});
+  }
+  work_ += ends.unreserved.size();
+  std::stable_sort(soonest.begin(), soonest.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::uint32_t need = job.waiting;
+  for (auto& [when, m] : soonest) {
+    if (need == 0) break;
+    m->reserved_for = job.index;
+    need -= std::min(need, std::max(1U, size.count_in(m->whole)));
   }
+  std::erase_if(ends.unreserved, [](const Machine* m) { return m->reserved_for != 0; });
 }
 
 void Leader::assign(Ms now, JobState& job, Machine& m, std::uint32_t task) {
@@ -156,63 +181,65 @@
   }
 }
 
+// Placement once for a batch of changes: what it costs decides how soon the next may follow. Reports
+// of machines with room are held meanwhile, and are answered with what is placed then.
 void Leader::schedule(Ms now) {
-  if (!loaded_ || !dirty_) return;
-  dirty_ = false;
-  // Assignments to machines that have fallen silent or are leaving go back to the queue.
-  for (auto& [name, m] : machines_) {
-    if (usable(now, *m)) continue;
-    for (auto it = m->tasks.begin(); it != m->tasks.end();) {
-      const auto next = std::next(it);
-      if (it->second.stage == Stage::assigned) vacate(*m, it);
-      it = next;
+  if (!loaded_ || !dirty_ || now < next_place_) return;
+  const auto before = work_;
+  place(now);
+  const double ms = static_cast<double>(work_ - before) / std::max(steps_per_ms_, 1.0);
+  next_place_ = now + std::min(kPlaceMostMs, static_cast<Ms>(ms / (platform_.cores * kPlaceShare)));
+}
+
+void Leader::place(Ms now) {
+  std::vector<Machine*> open;
+  Ends ends;
+  for (auto* m : fleet_) {
+    m->reserved_for = 0;
+    if (usable(now, *m)) {
+      ends.unreserved.push_back(m);
+      if (m->room.cpus > 0 || m->room.gpus > 0) open.push_back(m);
+    } else if (m->assigned > 0) {
+      // Assignments to machines that have fallen silent or are leaving go back to the queue.
+      for (auto it = m->tasks.begin(); it != m->tasks.end();) {
+        const auto next = std::next(it);
+        if (it->second.stage == Stage::assigned) vacate(*m, it);
+        it = next;
+      }
     }
   }
+  work_ += fleet_.size();
   dirty_ = false;
 
   struct Key {
-    bool owed;
-    int priority;
     double key;
     JobState* job;
   };
   std::vector<Key> order;
-  const auto guaranteed = guaranteed_jobs();
+  mark_owed();
   for (auto& [id, job] : jobs_) {
     if (!job->active() || job->waiting == 0 || job->team < 0 || now < job->not_before) continue;
     const double wait = static_cast<double>(now - job->seen) / 1000;
-    order.push_back({guaranteed.contains(job->index), static_cast<int>(job->spec.priority),
-                     portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
+    order.push_back({portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
   }
+  work_ += jobs_.size();
   std::sort(order.begin(), order.end(), [](const Key& a, const Key& b) {
-    if (a.owed != b.owed) return a.owed;
-    if (a.priority != b.priority) return a.priority > b.priority;
+    if (a.job->owed != b.job->owed) return a.job->owed;
+    if (a.job->spec.priority != b.job->spec.priority) return a.job->spec.priority > b.job->spec.priority;
     if (a.key != b.key) return a.key > b.key;
     return a.job->index < b.job->index;
   });
-  for (auto& [name, m] : machines_) m->reserved_for = 0;
-  constexpr double eps = 1e-9;
   for (auto& k : order) {
     auto& job = *k.job;
-    const auto& team = teams_[static_cast<std::size_t>(job.team)];
-    // A job whose tasks fail gets one machine's worth of tries at a time.
-    int tries = job.failures > 2 ? 1 : 1 << 20;
-    while (tries-- > 0) {
-      if (team.used_cpus + job.spec.cpus > team.cpus_max + eps) break;
-      if (job.spec.gpus > 0 && team.used_gpus + job.spec.gpus > team.gpus_max + eps) break;
-      const auto task = job.next_waiting();
-      if (task < 0) break;
-      auto* m = choose(now, job);
-      if (m == nullptr) {
-        if (k.owed) reserve(now, job);
-        break;
-      }
-      assign(now, job, *m, static_cast<std::uint32_t>(task));
-    }
+    const auto before = job.waiting;
+    fill(now, job, open);
+    if (job.owed && job.waiting > 0 && job.failures <= 2 && in_limit(job)) reserve(now, job, ends);
+    if (job.waiting != before)
+      std::erase_if(open, [](const Machine* m) { return m->room.cpus < 1e-9 && m->room.gpus < 1e-9; });
     if (job.mark_wanted > job.mark) persist(now, job);
   }
-  for (auto& [name, m] : machines_)
-    if (m->held) answer(now, *m, false);
+  for (auto* m : fleet_)
+    if (m->held && m->assigned > 0) answer(now, *m, false);
 }
 
 }  // namespace hitchfront::core
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -86,12 +86,13 @@
       if (pl.stage == Stage::assigned) {
         vacate(*m, p);
       } else if (pl.job->spec.checkpoint_s > 0) {
-        pl.stopping = true;
+        pl.stopping = m->stopping = true;
         pl.grace_s = pl.job->spec.save_s + kGraceSpareS;
       } else {
         // It can't save: if it won't be done in time it may as well begin again elsewhere at once.
         const double ran = ran_s(now, pl);
         pl.stopping = run_time(*pl.job) - ran > *r->notice_s;
+        m->stopping = m->stopping || pl.stopping;
       }
       p = next;
     }
@@ -109,7 +110,7 @@
 }
 
 void Leader::take_tasks(Ms now, Machine& m, const wire::Report& r) {
-  std::set<TaskKey> seen;
+  const auto listed = ++reports_;
   for (const auto& t : r.tasks) {
     auto* job = find(t.job);
     if (job == nullptr || t.task >= job->spec.tasks) continue;
@@ -144,8 +145,10 @@
       }
       continue;
     }
-    seen.insert(key);
-    if (job->phase[t.task] == TaskPhase::done) continue;  // told to stop in the answer
+    if (job->phase[t.task] == TaskPhase::done) {  // told to stop in the answer
+      if (it != m.tasks.end()) it->second.listed = listed;
+      continue;
+    }
     if (it == m.tasks.end()) {
       // An earlier leader's launch, or one that was thought gone. Presence is believed from anyone.
       Placement p;
@@ -158,20 +161,21 @@
     }
     auto& p = it->second;
     p.attempt = t.attempt;
-    switch (t.state) {
-      case wire::TaskState::fetching: p.stage = Stage::fetching; break;
-      case wire::TaskState::saving: p.stage = Stage::saving; break;
-      default:
-        if (p.run_since == 0 && p.stage != Stage::assigned) p.run_since = now;
-        p.stage = Stage::running;
-    }
+    p.listed = listed;
+    if (t.state != wire::TaskState::fetching && t.state != wire::TaskState::saving && p.run_since == 0 &&
+        p.stage != Stage::assigned)
+      p.run_since = now;
+    if (p.stage == Stage::assigned) --m.assigned;
+    set_stage(p, t.state == wire::TaskState::fetching ? Stage::fetching
+                 : t.state == wire::TaskState::saving ? Stage::saving
+                                                      : Stage::running);
   }
   // Absence is proved only by a report that was sent after hearing from this leader and after the
   // worker dealt with the answer that carried the launch.
   if (r.token != term_) return;
   std::vector<TaskKey> absent;
   for (const auto& [key, p] : m.tasks)
-    if (p.stage != Stage::assigned && p.sent_seq < r.seq && !seen.contains(key)) absent.push_back(key);
+    if (p.stage != Stage::assigned && p.sent_seq < r.seq && p.listed != listed) absent.push_back(key);
   for (const auto& key : absent) gone(now, m, key);
 }
 
@@ -181,7 +185,7 @@
   job.set(task, TaskPhase::done);
   job.failures = 0;
   if (job.complete() && job.run_count > 0)
-    predictor_.observe(owner_of(job.spec), job.run_sum_s / job.run_count);
+    predictor_.observe(job.owner, job.run_sum_s / job.run_count);
   persist(now, job);
 }
 
@@ -226,7 +230,7 @@
       it->second.stop_sent = now;
     }
   }
-  if (usable(now, m)) {
+  if (m.assigned > 0 && usable(now, m)) {
     // Room as it is, tasks being stopped included: an assignment may be waiting for them to go.
     Size room = m.whole;
     for (auto& [key, p] : m.tasks)
@@ -236,6 +240,7 @@
       // Dropped as late as possible: a job withdrawn meanwhile starts nothing.
       if (p.stage != Stage::assigned || !p.job->active() || p.task >= p.job->mark) continue;
       p.stage = Stage::sent;
+      --m.assigned;
       p.attempt = (term_ << kAttemptBits) | next_attempt_++;
       p.sent_seq = m.seq;
       p.since = now;
@@ -254,12 +259,16 @@
 void Leader::stop_direct(Ms now, Machine& m) {
   if (m.addr.empty() || !may_act(now)) return;
   std::vector<wire::Command> commands;
+  bool any = false;
   for (auto& [key, p] : m.tasks) {
-    if (!p.stopping || p.stage == Stage::assigned || p.stage == Stage::saving) continue;
+    if (!p.stopping || p.stage == Stage::assigned) continue;
+    any = true;
+    if (p.stage == Stage::saving) continue;
     if (p.stop_sent != 0 && now - p.stop_sent < kStopRepeatMs) continue;
     p.stop_sent = now;
     commands.push_back({wire::Command::Op::stop, p.job->spec.id, p.task, p.attempt, p.grace_s});
   }
+  m.stopping = any;
   if (commands.empty()) return;
   HttpCall c;
   c.target = Target::worker;
@@ -289,7 +298,7 @@
     for (auto* j : withdrawn) persist(now, *j);
     dirty_ = true;
   }
-  for (auto& [name, m] : machines_) {
+  for (auto* m : fleet_) {
     if (m->lost || !m->up || now <= m->lease_over) continue;
     m->lost = true;
     m->lost_at = now;
@@ -299,7 +308,7 @@
       out_.reply(*m->held, 503, wire::error_body("lease over"));
       m->held.reset();
     }
-    log(Level::info, "machine " + name + " lost: its lease is over, " + std::to_string(m->tasks.size()) +
+    log(Level::info, "machine " + m->name + " lost: its lease is over, " + std::to_string(m->tasks.size()) +
                          " tasks go elsewhere");
     std::vector<TaskKey> keys;
     for (const auto& [key, p] : m->tasks) keys.push_back(key);
--- a/src/core/leader_selection.cpp
+++ b/src/core/leader_selection.cpp
@@ -34,7 +34,7 @@
   std::sort(s.queue.begin(), s.queue.end(), [](const auto& a, const auto& b) {
     return a.wait_s != b.wait_s ? a.wait_s > b.wait_s : a.image < b.image;
   });
-  for (const auto& [name, m] : machines_) {
+  for (const auto* m : fleet_) {
     if (m->type < 0 || m->failed || m->releasing || m->lost) continue;
     const auto& type = types_[static_cast<std::size_t>(m->type)];
     portfolio::SimMachine x;
--- a/src/core/leader_store.cpp
+++ b/src/core/leader_store.cpp
@@ -58,7 +58,10 @@
         ++j->stored_done;
       }
     persist(t, *j);
-    for (auto& [name, m] : machines_) answer(t, *m, false);
+    // The mark frees launches; completions now stored are cleared in each machine's next answer.
+    if (mark)
+      for (auto* m : fleet_)
+        if (m->held && m->assigned > 0) answer(t, *m, false);
   }));
 }
 
@@ -77,9 +80,7 @@
     j->writing = false;
     if (status == 200) {
       log(Level::info, id + (withdrawn ? " withdrawn, all its tasks are gone" : " done"));
-      remove_job(t, id);
-      for (auto& [name, m] : machines_) answer(t, *m, false);
-      return;
+      return remove_job(t, id);
     }
     j->resync = true;
     if (status != 409) j->write_after = t + kStoreRetryMs;
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -68,6 +68,12 @@
 
 // Images of a machine's cache that are remembered; more than any cache here holds.
 inline constexpr std::size_t kImagesKnown = 16;
+// Share of the node's processor that placement may use on average: after each placement the next one
+// waits as long as its counted work stands for, at most kPlaceMostMs. A small fleet never waits.
+inline constexpr double kPlaceShare = 0.15;
+inline constexpr std::int64_t kPlaceMostMs = 500;
+// ms between placements that no event asked for.
+inline constexpr std::int64_t kStirMs = 1000;
 // ms between looks for somebody to stop.
 inline constexpr std::int64_t kPreemptMs = 500;
 // s. A task this close to its predicted end is not stopped.
