--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -135,6 +135,7 @@
   bool allowed_on(const JobState& job, const Machine& m) const;
   void schedule(Ms now);
   void place(Ms now);
+  bool late(const JobState& job, double wait_s) const;
   bool in_limit(const JobState& job) const;  // one more task of it
   bool zone_allows(const JobState& job, int zone) const;
   // When tasks are expected to end, worked out once a placement for each machine that asks.
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -181,6 +181,14 @@
   }
 }
 
+// Its deadline can't be met any more, however many of its tasks its team's limit lets run at once.
+bool Leader::late(const JobState& job, double wait_s) const {
+  if (!job.spec.deadline_s) return false;
+  const auto& team = teams_[static_cast<std::size_t>(job.team)];
+  const double rounds = std::max(1.0, std::ceil(job.waiting * job.spec.cpus / std::max(team.cpus_max, job.spec.cpus)));
+  return wait_s + rounds * run_time(job) > *job.spec.deadline_s;
+}
+
 // Placement once for a batch of changes: what it costs decides how soon the next may follow. Reports
 // of machines with room are held meanwhile, and are answered with what is placed then.
 void Leader::schedule(Ms now) {
@@ -212,6 +220,7 @@
   dirty_ = false;
 
   struct Key {
+    bool late;
     double key;
     JobState* job;
   };
@@ -220,12 +229,13 @@
   for (auto& [id, job] : jobs_) {
     if (!job->active() || job->waiting == 0 || job->team < 0 || now < job->not_before) continue;
     const double wait = static_cast<double>(now - job->seen) / 1000;
-    order.push_back({portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
+    order.push_back({late(*job, wait), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
   }
   work_ += jobs_.size();
   std::sort(order.begin(), order.end(), [](const Key& a, const Key& b) {
     if (a.job->owed != b.job->owed) return a.job->owed;
     if (a.job->spec.priority != b.job->spec.priority) return a.job->spec.priority > b.job->spec.priority;
+    if (a.late != b.late) return b.late;
     if (a.key != b.key) return a.key > b.key;
     return a.job->index < b.job->index;
   });
