Zones apart: workers' reports go through the store in compact batches

A batch is varint coded now, names once: about 35 reports a value. Answers are coded likewise and split over values where they don't fit.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -30,12 +30,9 @@
       leadership_(out_, store_, platform_.node, seed, all_peers(platform_)),
       front_(out_, store_, platform_, [this](Ms now, const std::string& id, auto done) { ask_counts(now, id, std::move(done)); }),
       relay_(out_, store_, leadership_, platform_,
-             [this](Ms now, std::uint64_t id, std::string_view body, bool by_store) {
-               if (leader_ && leadership_.leading()) {
-                 auto report = wire::parse_report(body);
-                 if (!report) return out_.reply(id, 400, wire::error_body("not a report"));
-                 return leader_->report(now, id, std::move(*report), by_store ? Leader::Way::store : Leader::Way::peer);
-               }
+             [this](Ms now, std::uint64_t id, wire::Report report, bool by_store) {
+               if (leader_ && leadership_.leading())
+                 return leader_->report(now, id, std::move(report), by_store ? Leader::Way::store : Leader::Way::peer);
                out_.reply(id, 503, wire::error_body("no leader"));
              }),
       random_(seed + 17) {
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -114,30 +114,25 @@
 void Relay::flush_store(Ms now) {
   if (batch_open_ && now < batch_at_ + kRelayTimeoutMs) return;
   batch_open_ = false;
-  json items = json::array();
-  std::size_t size = 0;
-  std::vector<std::uint64_t> later;
+  std::vector<std::pair<std::uint64_t, wire::Report>> reports;
   for (const auto id : unsent_) {
     auto it = pending_.find(id);
     if (it == pending_.end()) continue;
-    size += it->second.body.size() + 64;
-    // Values are bounded; what does not fit goes with the next batch.
-    if (size > kRelayValueMost && !items.empty()) {
-      later.push_back(id);
-      continue;
-    }
-    items.push_back({id, it->second.body});
+    if (auto report = wire::parse_report(it->second.body)) reports.emplace_back(id, std::move(*report));
   }
-  unsent_ = std::move(later);
-  if (items.empty()) return;
+  unsent_.clear();
+  if (reports.empty()) return;
+  // Values are bounded; what does not fit goes with the next batch.
+  const auto text = wire::encode_reports(reports, kRelayValueMost);
+  for (const auto& [id, report] : reports) unsent_.push_back(id);
   batch_open_ = true;
   batch_at_ = now;
   // The wall of a former life of this node must not answer this one's batches.
-  if (batch_seq_ == 0) batch_seq_ = static_cast<std::uint64_t>(now) << 16;
+  if (batch_seq_ == 0) first_seq_ = batch_seq_ = static_cast<std::uint64_t>(now) << 16;
   ++batch_seq_;
   if (!watching_replies_) watch_replies(now);
   wire::Txn txn;
-  txn.put(kAskPrefix + node_, json{{"seq", batch_seq_}, {"items", items}}.dump());
+  txn.put(kAskPrefix + node_, json{{"seq", batch_seq_}, {"items", text}}.dump());
   store_.commit(now, Rank::leader, txn, [this](Ms, int status, std::string_view) {
     if (status != 200) batch_open_ = false;
   });
@@ -152,14 +147,22 @@
     if (page) {
       replies_revision_ = std::max(replies_revision_, page->revision);
       for (const auto& e : page->events) {
-        if (e.deleted || !e.value.is_object() || e.value.value("seq", std::uint64_t{0}) != batch_seq_) continue;
-        for (const auto& i : e.value["items"]) {
-          auto it = pending_.find(i.at(0).get<std::uint64_t>());
+        if (e.deleted || !e.value.is_object()) continue;
+        // Answers may take more than one value, and the later one may come after the next batch has left.
+        const auto seq = e.value.value("seq", std::uint64_t{0});
+        if (seq < first_seq_ || seq > batch_seq_) continue;
+        const auto items = e.value.find("items");
+        if (items == e.value.end() || !items->is_string()) continue;
+        const auto answers = wire::decode_answers(items->get_ref<const std::string&>());
+        if (!answers) continue;
+        for (const auto& a : *answers) {
+          auto it = pending_.find(a.id);
           if (it == pending_.end()) continue;
-          out_.reply(it->second.request, i.at(1).get<int>(), i.at(2).get<std::string>());
+          out_.reply(it->second.request, a.status,
+                     a.status == 200 ? wire::report_answer(a.commands.token, a.commands.commands) : a.body);
           pending_.erase(it);
         }
-        batch_open_ = false;
+        if (seq == batch_seq_) batch_open_ = false;
       }
     } else if (status == 410) {
       replies_revision_ = leadership_.revision();
@@ -191,9 +194,11 @@
 }
 
 void Relay::peer_ask(Ms now, const std::string& node, const wire::PeerMessage& m) {
+  auto report = wire::parse_report(m.text);
+  if (!report) return;  // its relay took it for one: a newer version's, which its worker repeats elsewhere
   const auto request = next_request_++;
   asked_[request] = {node, m.id, false};
-  handle_(now, request, m.text, false);
+  handle_(now, request, std::move(*report), false);
 }
 
 void Relay::watch_asks(Ms now) {
@@ -216,18 +221,17 @@
 
 void Relay::take_asks(Ms now, const std::string& node, const json& value) {
   auto& batch = batches_[node];
-  if (!value.contains("items") || !value["items"].is_array()) return;
+  const auto items = value.find("items");
+  if (items == value.end() || !items->is_string()) return;
+  auto reports = wire::decode_reports(items->get_ref<const std::string&>());
+  if (!reports) return;
   batch.seq = value.value("seq", std::uint64_t{0});
   batch.answers.clear();
-  batch.open = value["items"].size();
-  for (const auto& i : value["items"]) {
-    if (!i.is_array() || i.size() != 2 || !i[1].is_string()) {
-      --batch.open;
-      continue;
-    }
+  batch.open = reports->size();
+  for (auto& [id, report] : *reports) {
     const auto request = next_request_++;
-    asked_[request] = {node, i[0].get<std::uint64_t>(), true};
-    handle_(now, request, i[1].get_ref<const std::string&>(), true);
+    asked_[request] = {node, id, true};
+    handle_(now, request, std::move(report), true);
   }
 }
 
@@ -247,20 +251,28 @@
     return true;
   }
   auto& batch = batches_[to.node];
-  batch.answers.push_back({to.id, reply});
+  wire::RelayedAnswer answer{to.id, reply.status, {}, {}};
+  if (reply.status == 200) {
+    if (auto commands = wire::parse_report_answer(reply.body)) answer.commands = std::move(*commands);
+  } else {
+    answer.body = reply.body;
+  }
+  batch.answers.push_back(std::move(answer));
   if (batch.answers.size() >= batch.open) write_answers(now, to.node);
   return true;
 }
 
 void Relay::write_answers(Ms now, const std::string& node) {
   auto& batch = batches_[node];
-  json items = json::array();
-  for (const auto& [id, r] : batch.answers) items.push_back({id, r.status, r.body});
-  batch.answers.clear();
-  wire::Txn txn;
-  txn.if_version("leader", leadership_.key_version())
-      .put(kReplyPrefix + node, json{{"seq", batch.seq}, {"items", items}}.dump());
-  store_.commit(now, Rank::lease, txn, [](Ms, int, std::string_view) {});
+  // More than one value where many launches go out at once; each takes the place of the one before, and
+  // the watch shows both.
+  while (!batch.answers.empty()) {
+    const auto text = wire::encode_answers(batch.answers, kRelayValueMost);
+    wire::Txn txn;
+    txn.if_version("leader", leadership_.key_version())
+        .put(kReplyPrefix + node, json{{"seq", batch.seq}, {"items", text}}.dump());
+    store_.commit(now, Rank::lease, txn, [](Ms, int, std::string_view) {});
+  }
 }
 
 void Relay::tick(Ms now) {
--- a/src/core/relay.hpp
+++ b/src/core/relay.hpp
@@ -10,6 +10,7 @@
 #include "core/leadership.hpp"
 #include "core/store_client.hpp"
 #include "settings/platform.hpp"
+#include "wire/batch.hpp"
 #include "wire/peer.hpp"
 #include "wire/worker.hpp"
 
@@ -19,7 +20,7 @@
  public:
   // `handle`: gives a report to this node's leader under a request id of the relay's own.
   // `by_store`: the way back is slow, so the answer must not be held.
-  using Handle = std::function<void(Ms, std::uint64_t request, std::string_view body, bool by_store)>;
+  using Handle = std::function<void(Ms, std::uint64_t request, wire::Report report, bool by_store)>;
   Relay(Outbox& out, StoreClient& store, Leadership& leadership, const settings::Platform& platform, Handle handle);
 
   // Follower.
@@ -60,7 +61,7 @@
   struct Batch {  // leader: one follower's batch through the store
     std::uint64_t seq = 0;
     std::size_t open = 0;
-    std::vector<std::pair<std::uint64_t, HttpReply>> answers;
+    std::vector<wire::RelayedAnswer> answers;
   };
   bool up(Ms now, const std::string& node) const;
   const std::string& zone_of(const std::string& node) const;
@@ -84,7 +85,7 @@
   std::string asked_leader_;
   std::uint64_t asked_term_ = 0;
   std::vector<std::uint64_t> unsent_;  // for the store
-  std::uint64_t batch_seq_ = 0;
+  std::uint64_t batch_seq_ = 0, first_seq_ = 0;
   bool batch_open_ = false, watching_replies_ = false;
   Ms batch_at_ = 0;
   std::uint64_t replies_revision_ = 0;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,6 +5,7 @@
 
 #include "core/jobs.hpp"
 #include "wire/job.hpp"
+#include "wire/batch.hpp"
 #include "wire/peer.hpp"
 #include "wire/varint.hpp"
 #include "wire/worker.hpp"
@@ -171,5 +172,91 @@
   EXPECT_EQ(b.stored_done, a.done);
 }
 
+Report busy_report(std::mt19937& random, int n) {
+  Report r;
+  r.machine = "n-" + std::to_string(100000 + n);
+  r.addr = "10.1.0." + std::to_string(n % 250) + ":9000";
+  r.type = n % 2 == 0 ? "big" : "small";
+  r.zone = "east";
+  r.spot = n % 3 == 0;
+  r.session = 1 + random() % 3;
+  r.seq = random();
+  r.token = 41;
+  if (n % 5 == 0) r.notice_s = 7.25;
+  for (int i = 0; i < 8; ++i) {
+    ReportedTask t;
+    t.job = "run-" + std::to_string(random() % 20);
+    t.task = random() % 2000;
+    t.attempt = 41ULL << 32 | (random() % 100000);
+    t.state = static_cast<TaskState>(random() % 4);
+    if (t.state == TaskState::ended) t.cause = static_cast<Cause>(1 + random() % 6);
+    t.saved = t.cause == Cause::stopped;
+    r.tasks.push_back(t);
+  }
+  return r;
+}
+
+// Two zones apart at full size: a relay has few writes a second, so many reports must fit into a value.
+TEST(Batch, CarriesManyReportsAndKeepsEachExactly) {
+  std::mt19937 random(3);
+  std::vector<std::pair<std::uint64_t, Report>> reports;
+  for (int i = 0; i < 100; ++i) reports.emplace_back(i + 1, busy_report(random, i));
+  auto rest = reports;
+  std::size_t at = 0, values = 0;
+  while (!rest.empty()) {
+    const auto text = encode_reports(rest, 6000);
+    EXPECT_LE(text.size(), 6000U);
+    const auto back = decode_reports(text);
+    ASSERT_TRUE(back);
+    for (const auto& [id, r] : *back) {
+      EXPECT_EQ(id, reports[at].first);
+      EXPECT_EQ(encode(r), encode(reports[at].second));
+      ++at;
+    }
+    ++values;
+  }
+  EXPECT_EQ(at, reports.size());
+  EXPECT_LE(values, 4U);
+  // One that is too large by itself still goes.
+  std::vector<std::pair<std::uint64_t, Report>> one = {{7, busy_report(random, 1)}};
+  EXPECT_FALSE(encode_reports(one, 10).empty());
+  EXPECT_TRUE(one.empty());
+}
+
+TEST(Batch, AnswersComeBackAsTheLeaderGaveThem) {
+  std::vector<RelayedAnswer> answers;
+  answers.push_back({1, 503, error_body("no leader"), {}});
+  answers.push_back({2, 200, {}, {41, {{Command::Op::start, "run-7", 3, 41ULL << 32 | 9, 0},
+                                       {Command::Op::stop, "run-7", 4, 41ULL << 32 | 8, 6.0001},
+                                       {Command::Op::forget, "run-8", 1999, 2, 0}}}});
+  const auto sent = answers;
+  const auto back = decode_answers(encode_answers(answers, 6000));
+  ASSERT_TRUE(back);
+  ASSERT_EQ(back->size(), 2U);
+  EXPECT_EQ((*back)[0].body, sent[0].body);
+  EXPECT_EQ((*back)[0].status, 503);
+  const auto& got = (*back)[1].commands;
+  EXPECT_EQ(got.token, 41U);
+  EXPECT_EQ(got.commands[0].attempt, 41ULL << 32 | 9);
+  EXPECT_GE(got.commands[1].grace_s, 6.0001) << "a grace never gets shorter";
+  EXPECT_EQ(got.commands[2].job, "run-8");
+  EXPECT_EQ(got.commands[2].task, 1999U);
+}
+
+TEST(Batch, SurvivesAnyText) {
+  std::mt19937 random(8);
+  std::vector<std::pair<std::uint64_t, Report>> reports = {{1, busy_report(random, 1)}, {2, busy_report(random, 2)}};
+  const auto text = encode_reports(reports, 6000);
+  for (int i = 0; i < 5000; ++i) {
+    auto bad = text;
+    bad[random() % bad.size()] = static_cast<char>(random());
+    bad.resize(random() % (bad.size() + 1));
+    const auto back = decode_reports(bad);
+    EXPECT_TRUE(!back || back->size() <= bad.size());
+    decode_answers(bad);
+  }
+  EXPECT_FALSE(decode_reports("not base64!"));
+}
+
 }  // namespace
 }  // namespace hitchfront::wire
