--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -165,50 +165,61 @@
 }
 
 // Nothing waits, and a dear machine is kept by a few tasks that can save: they move to machines that
-// stay anyway, one machine at a time. Tasks keep their progress but for the time to save.
+// stay anyway. Tasks keep their progress but for the time to save. One machine at a time, or a small part
+// of a large fleet: one a second would empty a fleet of hundreds long after its work is done.
 void Leader::consolidate(Ms now) {
   for (const auto& [id, job] : jobs_)
     if (job->active() && job->waiting > 0) return;
-  Machine* best = nullptr;
-  double best_price = 0;
+  struct Stay {
+    Machine* machine;
+    Size room;
+  };
+  std::vector<Stay> stay;
+  std::vector<Machine*> leave;
+  std::size_t emptying = 0;
   for (auto* m : fleet_) {
-    if (m->emptying) return;
-    if (!usable(now, *m) || m->tasks.empty() || now - m->born < static_cast<Ms>(kLeastPaidS * 1000)) continue;
-    if (m->room.share_of(m->whole) < kNearlyEmpty) continue;
+    if (m->emptying) ++emptying;
+    if (!usable(now, *m) || m->tasks.empty()) continue;
+    stay.push_back({m, m->room});
+    if (now - m->born < static_cast<Ms>(kLeastPaidS * 1000) || m->room.share_of(m->whole) < kNearlyEmpty) continue;
     const bool movable = std::all_of(m->tasks.begin(), m->tasks.end(), [&](const auto& t) {
       const auto& p = t.second;
       const double ran = ran_s(now, p);
       return p.stage == Stage::running && !p.stopping && p.job->spec.checkpoint_s > 0 && ran > kSettledS &&
              (run_time(*p.job) - ran > kWorthMovingS || ran > run_time(*p.job));
     });
-    const double price = price_of(*m);
-    if (!movable || price <= best_price) continue;
+    if (movable) leave.push_back(m);
+  }
+  const auto most = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(fleet_.size()) * kEmptyingShare));
+  std::stable_sort(leave.begin(), leave.end(), [&](const Machine* a, const Machine* b) {
+    if (std::abs(price_of(*a) - price_of(*b)) > 1e-9) return price_of(*a) > price_of(*b);
+    return a->tasks.size() < b->tasks.size();
+  });
+  for (auto* m : leave) {
+    if (emptying >= most) return;
+    auto trial = stay;
+    std::erase_if(trial, [m](const Stay& s) { return s.machine == m; });
     // Do they fit elsewhere?
-    std::vector<std::pair<Machine*, Size>> rooms;
-    for (auto* o : fleet_)
-      if (o != m && usable(now, *o) && !o->tasks.empty()) rooms.push_back({o, o->room});
     const bool fits = std::all_of(m->tasks.begin(), m->tasks.end(), [&](const auto& t) {
       const auto& job = *t.second.job;
-      for (auto& [o, room] : rooms) {
-        if (!allowed_on(job, *o) || !size_of(job.spec).fits(room)) continue;
-        room.add(size_of(job.spec), -1);
+      for (auto& s : trial) {
+        if (!size_of(job.spec).fits(s.room) || !allowed_on(job, *s.machine)) continue;
+        s.room.add(size_of(job.spec), -1);
         return true;
       }
       return false;
     });
     if (!fits) continue;
-    best = m;
-    best_price = price;
-  }
-  if (best == nullptr) return;
-  best->emptying = true;
-  best->stopping = true;
-  for (auto& [key, p] : best->tasks) {
-    p.stopping = true;
-    p.grace_s = p.job->spec.save_s + kGraceSpareS;
+    stay = std::move(trial);
+    ++emptying;
+    m->emptying = m->stopping = true;
+    for (auto& [key, p] : m->tasks) {
+      p.stopping = true;
+      p.grace_s = p.job->spec.save_s + kGraceSpareS;
+    }
+    log(Level::info, "moving " + std::to_string(m->tasks.size()) + " tasks off " + m->name);
+    if (!answer(now, *m, false)) stop_direct(now, *m);
   }
-  log(Level::info, "moving " + std::to_string(best->tasks.size()) + " tasks off " + best->name);
-  if (!answer(now, *best, false)) stop_direct(now, *best);
 }
 
 void Leader::give_back(Ms now) {
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -82,6 +82,8 @@
 inline constexpr double kGraceSpareS = 1;
 // Free share of a machine from which its tasks may move off it.
 inline constexpr double kNearlyEmpty = 0.5;
+// Share of the fleet, one machine at the least, that may be emptied at a time.
+inline constexpr double kEmptyingShare = 0.03;
 // s a task has run before it may move (earlier, its start would not count), and that it has still to
 // run, as far as is known.
 inline constexpr double kSettledS = 30, kWorthMovingS = 20;
@@ -132,7 +134,7 @@
 inline constexpr std::int64_t kReturnWindowMs = 2500;
 // s. Idle machines are kept for this long times (ordinary price / own price) squared, less one: nothing
 // for ordinary machines, longer the cheaper a spot machine is.
-inline constexpr double kKeepS = 10;
+inline constexpr double kKeepS = 4;
 // Names of returned machines remembered, so that stale lists and late reports do not revive them.
 inline constexpr std::size_t kTombstones = 2000;
 // Different jobs that must fail on a machine before the machine is blamed.
