--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -93,7 +93,6 @@
   std::vector<std::string> log;
   std::int64_t now() const { return now_; }
   core::Controller* leader();
-  std::size_t machines() const { return workers_.size(); }
   std::size_t machines_most = 0;
 
  private:
