An answer to a worker holds at most 500 commands

Found by reading: a report of 1,200 tasks that nobody knows got as many stops, more than the 64 KiB that a worker can read in a line. What does not fit is said again in the next answer.

--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -212,6 +212,8 @@
   }
   std::vector<wire::Command> commands;
   for (const auto& t : m.reported) {
+    // An answer is bounded (PROTOCOL); what does not fit is said again in the next.
+    if (commands.size() >= kCommandsMost) break;
     auto* job = find(t.job);
     const bool known = job != nullptr && t.task < job->spec.tasks;
     if (t.state == wire::TaskState::ended) {
@@ -236,6 +238,7 @@
     for (auto& [key, p] : m.tasks)
       if (p.stage != Stage::assigned) room.add(size_of(p.job->spec), -1);
     for (auto& [key, p] : m.tasks) {
+      if (commands.size() >= kCommandsMost) break;
       if (!size_of(p.job->spec).fits(room)) continue;
       // Dropped as late as possible: a job withdrawn meanwhile starts nothing.
       if (p.stage != Stage::assigned || !p.job->active() || p.task >= p.job->mark) continue;
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -57,6 +57,9 @@
 // ms. A report of a machine with free room is answered at the latest after this long, so that a job
 // that arrives meanwhile starts at once. Workers wait 4 s for an answer.
 inline constexpr std::int64_t kHoldReportMs = 900;
+// Commands in one answer to a worker: some 110 bytes each at most, so that the answer stays below the 64 KiB
+// of a line even after a report full of tasks that nobody knows.
+inline constexpr std::size_t kCommandsMost = 500;
 // ms. A machine that has said nothing for this long gets no new assignments.
 inline constexpr std::int64_t kSilentMs = 4000;
 // Bits of an attempt number below the term.
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -232,6 +232,17 @@
   return nullptr;
 }
 
+core::HttpReply World::ask_leader(core::Method method, const std::string& path, const std::string& body) {
+  for (auto& n : nodes_) {
+    if (!n->core || n->core.get() != leader()) continue;
+    const auto id = n->next_request++;
+    n->core->request(steady(*n), now_, id, method, path, body);
+    for (auto& r : n->core->take().replies)
+      if (r.request == id) return r;
+  }
+  return {};
+}
+
 core::Controller* World::leader() {
   for (auto& n : nodes_)
     if (n->core && n->core->leading()) return n->core.get();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -93,6 +93,8 @@
   std::vector<std::string> log;
   std::int64_t now() const { return now_; }
   core::Controller* leader();
+  // What the leader answers at once to a request of this moment; status 0: it doesn't yet.
+  core::HttpReply ask_leader(core::Method method, const std::string& path, const std::string& body);
   std::size_t machines_most = 0;
 
  private:
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -1,6 +1,7 @@
 // The rules under failure, in the seeded world.
 #include <gtest/gtest.h>
 
+#include "settings/constants.hpp"
 #include "world.hpp"
 
 namespace hitchfront::testing {
@@ -219,6 +220,35 @@
   EXPECT_LT(work[1], 450) << "a report costs less than one look at the fleet";
 }
 
+// Guards against an answer beyond what a worker can read.
+TEST(FullSize, AReportOfAThousandUnknownTasksGetsABoundedAnswer) {
+  Scenario s;
+  s.seed = 6;
+  s.run_ms = 20'000;
+  s.settle_ms = 1000;
+  World w(s);
+  w.run();
+  ASSERT_NE(w.leader(), nullptr);
+  const auto before = w.leader()->cost().first;
+  wire::Report r;
+  r.machine = "n-999999";
+  r.addr = "10.1.0.1:9000";
+  r.type = "small";
+  r.zone = "east";
+  r.session = 1;
+  for (std::uint32_t i = 0; i < 1200; ++i) r.tasks.push_back({"run-123456", i, i + 1, wire::TaskState::running, {}, false});
+  for (r.seq = 1; r.seq <= 3; ++r.seq) {
+    const auto answer = w.ask_leader(core::Method::post, "/agent/beat", wire::encode(r));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_LT(answer.body.size(), wire::kMaxBody);
+    const auto said = wire::parse_report_answer(answer.body);
+    ASSERT_TRUE(said);
+    EXPECT_EQ(said->commands.size(), settings::kCommandsMost);
+    for (const auto& c : said->commands) EXPECT_EQ(c.op, wire::Command::Op::stop);
+  }
+  EXPECT_LT(w.leader()->cost().first - before, 3U * 1200);
+}
+
 // ---- the judge catches a broken core --------------------------------------------------------------
 
 std::set<std::string> broken_by(std::function<void(std::int64_t, int, core::Effects&)> saboteur,
