--- a/src/core/leader_selection.cpp
+++ b/src/core/leader_selection.cpp
@@ -66,18 +66,7 @@
     s.machines.push_back(std::move(x));
   }
   for (const auto& r : rentals_) {
-    const auto& o = offers_[r.offer];
-    for (std::uint32_t i = 0; i < r.count; ++i) {
-      portfolio::SimMachine x;
-      x.type = o.type;
-      x.zone = o.zone;
-      x.spot = o.spot;
-      x.whole = x.room = o.size;
-      x.up_in_s = o.boot_s;
-      x.price = o.price;
-      x.fetch_gb_per_s = o.fetch_gb_per_s;
-      s.machines.push_back(std::move(x));
-    }
+    s.machines.insert(s.machines.end(), r.count, portfolio::booting(offers_[r.offer]));
   }
   s.offers = offers_;
   for (std::size_t i = 0; i < offers_.size(); ++i)
--- a/src/portfolio/replay.cpp
+++ b/src/portfolio/replay.cpp
@@ -25,6 +25,18 @@
   return n <= 0 ? 0 : static_cast<std::uint32_t>(n);
 }
 
+SimMachine booting(const Offer& o) {
+  SimMachine m;
+  m.type = o.type;
+  m.zone = o.zone;
+  m.spot = o.spot;
+  m.whole = m.room = o.size;
+  m.up_in_s = o.boot_s;
+  m.price = o.price;
+  m.fetch_gb_per_s = o.fetch_gb_per_s;
+  return m;
+}
+
 int best_offer(const SimJob& job, const std::vector<Offer>& offers) {
   int best = -1;
   double best_price = 0;
@@ -236,14 +248,7 @@
       n = std::min(n, o.room);
       o.room -= n;
       if (n == 0) continue;
-      auto& m = rented_.emplace_back();
-      m.type = o.type;
-      m.zone = o.zone;
-      m.spot = o.spot;
-      m.whole = m.room = o.size;
-      m.up_in_s = o.boot_s;
-      m.price = o.price;
-      m.fetch_gb_per_s = o.fetch_gb_per_s;
+      const auto& m = rented_.emplace_back(booting(o));
       for (; n > 0; --n) add(m, now);
     }
   }
--- a/src/portfolio/replay.hpp
+++ b/src/portfolio/replay.hpp
@@ -88,6 +88,9 @@
   std::uint64_t steps = 0;  // what the replay cost
 };
 
+// A machine of this offer, rented just now.
+SimMachine booting(const Offer& offer);
+
 // The best offer for a job: the least price for one task's share. -1: none.
 int best_offer(const SimJob& job, const std::vector<Offer>& offers);
 
--- a/tests/slow_replay.cpp
+++ b/tests/slow_replay.cpp
@@ -142,15 +142,7 @@
       n = std::min(n, o.room);
       o.room -= n;
       for (; n > 0; --n) {
-        SimMachine m;
-        m.type = o.type;
-        m.zone = o.zone;
-        m.spot = o.spot;
-        m.whole = m.room = o.size;
-        m.up_in_s = o.boot_s;
-        m.price = o.price;
-        m.fetch_gb_per_s = o.fetch_gb_per_s;
-        add(m, now);
+        add(booting(o), now);
       }
     }
   }
