--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -99,7 +99,7 @@
   };
   struct Team {
     std::string name;
-    double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
+    double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // a limit may be infinite
     double used_cpus = 0, used_gpus = 0;
   };
 
--- a/src/portfolio/replay.cpp
+++ b/src/portfolio/replay.cpp
@@ -257,11 +257,9 @@
   std::uint32_t allowed(const SimJob& job, std::uint32_t n) const {
     const auto& t = teams_[static_cast<std::size_t>(job.team)];
     if (job.size.cpus > 0)
-      n = std::min(n, static_cast<std::uint32_t>(
-                          std::max(0.0, (t.cpus_max - t.used_cpus) / job.size.cpus + 1e-9)));
+      n = static_cast<std::uint32_t>(std::clamp((t.cpus_max - t.used_cpus) / job.size.cpus + 1e-9, 0.0, static_cast<double>(n)));
     if (job.size.gpus > 0)
-      n = std::min(n, static_cast<std::uint32_t>(
-                          std::max(0.0, (t.gpus_max - t.used_gpus) / job.size.gpus + 1e-9)));
+      n = static_cast<std::uint32_t>(std::clamp((t.gpus_max - t.used_gpus) / job.size.gpus + 1e-9, 0.0, static_cast<double>(n)));
     return n;
   }
 
--- a/src/portfolio/replay.hpp
+++ b/src/portfolio/replay.hpp
@@ -72,7 +72,7 @@
 };
 
 struct SimTeam {
-  double cpus = 0, cpus_max = 0, gpus_max = 0;  // guarantee and limits
+  double cpus = 0, cpus_max = 0, gpus_max = 0;  // guarantee and limits; infinite: none
   double used_cpus = 0, used_gpus = 0;
 };
 
--- a/src/settings/platform.cpp
+++ b/src/settings/platform.cpp
@@ -151,11 +151,18 @@
   params.list("teams", [&](Reader t) {
     Team team;
     team.name = t.text("name");
-    team.cpus = t.number("cpus", 0);
-    team.cpus_max = t.number("cpus_max", 0);
-    if (t.has("gpus")) team.gpus = t.number("gpus", 0);
-    if (t.has("gpus_max")) team.gpus_max = t.number("gpus_max", 0);
-    if (team.cpus_max > 0 && team.cpus > team.cpus_max) t.bad("cpus", "is above cpus_max");
+    // A guest team comes with nothing but its name, or with zeros: no guarantee, and no limit either.
+    const auto amount = [&](const char* field) { return t.has(field) ? t.number(field, 0) : 0.0; };
+    const auto limit = [&](const char* field) {
+      const double most = amount(field);
+      return most > 0 ? most : kNoLimit;
+    };
+    team.cpus = amount("cpus");
+    team.cpus_max = limit("cpus_max");
+    team.gpus = amount("gpus");
+    team.gpus_max = limit("gpus_max");
+    if (team.cpus > team.cpus_max) t.bad("cpus", "is above cpus_max");
+    if (team.gpus > team.gpus_max) t.bad("gpus", "is above gpus_max");
     if (!teams.insert(team.name).second) t.bad("name", "names a team twice");
     p.teams.push_back(team);
   });
--- a/src/settings/platform.hpp
+++ b/src/settings/platform.hpp
@@ -1,6 +1,7 @@
 // The settings file that the platform hands over (JSON).
 #pragma once
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -8,9 +9,13 @@
 
 namespace hitchfront::settings {
 
+// A limit that the platform gives as 0, or not at all, is none (DEPLOY: "0 means none"). Infinity says so in
+// every sum and comparison, so that no user of a limit has to remember what 0 stood for.
+inline constexpr double kNoLimit = std::numeric_limits<double>::infinity();
+
 struct Team {
   std::string name;
-  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
+  double cpus = 0, cpus_max = kNoLimit, gpus = 0, gpus_max = kNoLimit;  // guarantees and limits
 };
 struct Objective {
   std::string kind, job_class;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -26,9 +26,30 @@
   EXPECT_TRUE(l.problems.empty()) << l.problems.front();
   EXPECT_EQ(l.platform.peers.at(0).addr, "127.0.0.2:8081");
   EXPECT_EQ(l.platform.teams.at(0).cpus_max, 8);
+  EXPECT_EQ(l.platform.teams.at(0).gpus_max, kNoLimit);  // given as 0
   EXPECT_EQ(l.platform.state_txn_ops, 24);
 }
 
+// Found on the bench: a guest team's zeros were taken for "may use nothing", and all its jobs got 422.
+TEST(Platform, ATeamMayHaveNoGuaranteeAndNoLimit) {
+  for (const char* team : {R"({"name":"guest"})", R"({"name":"guest","cpus":0,"cpus_max":0.0,"gpus":0,"gpus_max":0})",
+                           R"({"name":"guest","cpus":null,"cpus_max":null})"}) {
+    auto o = good();
+    o["params"]["teams"].push_back(json::parse(team));
+    const auto l = parse_platform(o.dump());
+    ASSERT_TRUE(l.problems.empty()) << team << ": " << l.problems.front();
+    const auto& guest = l.platform.teams.at(1);
+    EXPECT_EQ(guest.cpus, 0);
+    EXPECT_EQ(guest.cpus_max, kNoLimit);
+    EXPECT_EQ(guest.gpus_max, kNoLimit);
+  }
+  auto o = good();
+  o["params"].erase("objectives");
+  EXPECT_TRUE(parse_platform(o.dump()).problems.empty());
+  o["params"]["objectives"] = json::parse(R"([{"kind":"kept-warm","class":"x","heat":4}])");  // not known: no matter
+  EXPECT_TRUE(parse_platform(o.dump()).problems.empty());
+}
+
 TEST(Platform, NamesEveryProblem) {
   const std::tuple<const char*, json, const char*> bad[] = {
       {"/node", "", "node"},
@@ -40,6 +61,7 @@
       {"/params/nodes", 1.5, "params.nodes"},
       {"/params/teams/0/cpus", 9.0, "params.teams[0].cpus"},
       {"/params/teams/0/cpus_max", -1.0, "params.teams[0].cpus_max"},
+      {"/params/teams/0/gpus_max", "many", "params.teams[0].gpus_max"},
       {"/params/workers/lease_s", "12", "params.workers.lease_s"},
       {"/params/workers/cancel_s", 14.0, "params.workers.cancel_s"},  // shorter than the leases
       {"/params/resources/cores", 0, "params.resources.cores"},
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -102,7 +102,7 @@
   p.peer_listen = "127.0.0.1:2";
   p.nodes = nodes;
   p.zones = zones;
-  p.teams = {{"red", 12, 24, 0, 0}, {"blue", 12, 32, 0, 0}};
+  p.teams = {{"red", 12, 24}, {"blue", 12, 32}, {"guest"}};
   p.report_s = 2;
   p.lease_s = 12;
   p.cancel_s = 30;
@@ -446,7 +446,7 @@
     u.id = "run-" + std::string(6 - std::min<std::size_t>(6, digits.size()), '0') + digits;
     u.spec.id = u.id;
     u.spec.job_class = chance(0.5) ? "alpha" : "beta";
-    u.spec.team = chance(0.5) ? "red" : "blue";
+    u.spec.team = s_.guests > 0 && chance(s_.guests) ? "guest" : chance(0.5) ? "red" : "blue";
     u.spec.image = "img-" + std::to_string(std::uniform_int_distribution<>(0, 3)(random_));
     u.spec.image_gb = 1;
     u.spec.form = chance(s_.services) ? wire::Form::service : wire::Form::array;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -73,6 +73,7 @@
   double loss = 0.001;
   double write_rps = 80;  // the store's limit, as the settings give it
   double services = 0.05;  // share of jobs
+  double guests = 0;       // share of jobs of a team without guarantee and limit
   // Changes a node's answers on their way out: a deliberately broken core.
   std::function<void(std::int64_t now, int node, core::Effects&)> saboteur;
 };
