A worker's first report is passed on, and a deaf leader says so

A worker lost 4 s and a second at the leader, was redirected back by the first node it tried, and lost 5 s there again, of a lease of 12 s. Ruled out: silent followers, the takeover (leases hold 6 s without a leader). Changed: the first report at a follower is passed on; a leader without direct reports for 3 s says so in its signs of life; it resigns after 30 s, not 6.

--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -74,6 +74,17 @@
          (job.spec.gpus <= 0 || team.used_gpus + job.spec.gpus <= team.gpus_max + eps);
 }
 
+// One more task of the job is within what its team is guaranteed, counting what the team uses now. A job that
+// as a whole is beyond the guarantee still has a right to this part of it: found on the bench, where a guest
+// team's long tasks held the fleet while teams with hundreds of waiting processors used a tenth of what they
+// are guaranteed.
+bool Leader::entitled(const JobState& job) const {
+  constexpr double eps = 1e-9;
+  const auto& team = teams_[static_cast<std::size_t>(job.team)];
+  return team.used_cpus + job.spec.cpus <= team.cpus + eps &&
+         (job.spec.gpus <= 0 || team.used_gpus + job.spec.gpus <= team.gpus + eps);
+}
+
 // The paper has one machine type, idle whole; here machines differ in price and take several tasks.
 // Slow machines are used last. The cheaper machine goes first, so that dearer ones run empty and can be
 // returned; then one that has the image; then the policy. First fit, which makes no distinction, takes
@@ -220,7 +231,7 @@
   dirty_ = false;
 
   struct Key {
-    bool late;
+    bool guest, late;  // guest: its team is guaranteed nothing and takes what the others leave
     double key;
     JobState* job;
   };
@@ -229,12 +240,14 @@
   for (auto& [id, job] : jobs_) {
     if (!job->active() || job->waiting == 0 || job->team < 0 || now < job->not_before) continue;
     const double wait = static_cast<double>(now - job->seen) / 1000;
-    order.push_back({late(*job, wait), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
+    const auto& team = teams_[static_cast<std::size_t>(job->team)];
+    order.push_back({team.cpus <= 0 && team.gpus <= 0, late(*job, wait), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
   }
   work_ += jobs_.size();
   std::sort(order.begin(), order.end(), [](const Key& a, const Key& b) {
     if (a.job->owed != b.job->owed) return a.job->owed;
     if (a.job->spec.priority != b.job->spec.priority) return a.job->spec.priority > b.job->spec.priority;
+    if (a.guest != b.guest) return b.guest;
     if (a.late != b.late) return b.late;
     if (a.key != b.key) return a.key > b.key;
     return a.job->index < b.job->index;
--- a/src/core/leader_preemption.cpp
+++ b/src/core/leader_preemption.cpp
@@ -18,7 +18,7 @@
   std::vector<JobState*> wanting;
   for (auto& [id, job] : jobs_)
     if (job->active() && job->waiting > 0 && job->team >= 0 && now >= job->not_before &&
-        (job->owed || job->spec.priority > wire::Priority::low))
+        (job->owed || entitled(*job) || job->spec.priority > wire::Priority::low))
       wanting.push_back(job.get());
   if (wanting.empty()) return;
   std::sort(wanting.begin(), wanting.end(), [&](const JobState* a, const JobState* b) {
@@ -125,7 +125,8 @@
   if (p.stopping || p.stage == Stage::assigned || p.stage == Stage::saving || p.job == &job) return -1;
   const auto& team = teams_[static_cast<std::size_t>(p.job->team)];
   const bool lower = p.job->spec.priority < job.spec.priority && (job.owed || !p.job->owed);
-  const bool borrowed = job.owed && !p.job->owed && p.job->team != job.team && team.used_cpus > team.cpus + 1e-9;
+  const bool borrowed = (job.owed || entitled(job)) && !p.job->owed && p.job->team != job.team &&
+                        team.used_cpus > team.cpus + 1e-9;
   if (!lower && !borrowed) return -1;
   const double run = run_time(*p.job);
   const double ran = ran_s(now, p);
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -27,7 +27,10 @@
 
 // ---- follower -------------------------------------------------------------------------------------
 
-void Relay::heard(Ms now, const std::string& node) { heard_[node] = now; }
+void Relay::heard(Ms now, const std::string& node, bool deaf) {
+  heard_[node] = now;
+  if (node == leadership_.leader()) leader_deaf_ = deaf;
+}
 
 bool Relay::up(Ms now, const std::string& node) const {
   const auto it = heard_.find(node);
@@ -71,7 +74,18 @@
   const bool near = reachable(now);
   auto& since = relaying_[report.machine];
   const bool ours = home(now, report) == node_;
-  bool relay = ours || !near || (since != 0 && now - since < kRelayMs);
+  bool relay = ours || !near || leader_deaf_ || (since != 0 && now - since < kRelayMs);
+  if (!relay) {
+    // A worker that has just come may have lost 5 s at a silent node, which may well be the leader. Its first
+    // report is passed on, so that it goes back there with a fresh lease. Redirected at once, it was back
+    // after 10 s of its 12 s, and a leader cut off from its workers cost 900 tasks (incident inc-a269).
+    auto& welcomed = welcomed_[report.machine];
+    if (welcomed == 0 || now - welcomed > kBouncedMs) {
+      welcomed = now;
+      send_to_leader(now, request, body, until, near);
+      return true;
+    }
+  }
   if (!relay) {
     since = 0;
     auto& last = redirected_[report.machine];
@@ -83,10 +97,15 @@
   if (since == 0) {
     // Only a worker that bounced off a leader which this node reaches stays here: once a leader is
     // heard again, the others go back to it.
-    since = ours || !near ? 0 : now;
-    if (!ours)
-    out_.log(Level::info, "passing on reports of " + report.machine + (near ? " to the leader" : " through the store"));
+    since = ours || !near || leader_deaf_ ? 0 : now;
+    if (!ours && !leader_deaf_)
+      out_.log(Level::info, "passing on reports of " + report.machine + (near ? " to the leader" : " through the store"));
   }
+  send_to_leader(now, request, body, until, near);
+  return true;
+}
+
+void Relay::send_to_leader(Ms now, std::uint64_t request, std::string_view body, Ms until, bool near) {
   const auto id = next_id_++;
   pending_[id] = {request, until, std::string(body), near};
   if (near) {
@@ -99,7 +118,6 @@
     unsent_.push_back(id);
     flush_store(now);
   }
-  return true;
 }
 
 void Relay::peer_answer(Ms, const wire::PeerMessage& m) {
@@ -283,6 +301,7 @@
   if (asked_leader_ != leadership_.leader() || asked_term_ != leadership_.term()) {
     asked_leader_ = leadership_.leader();
     asked_term_ = leadership_.term();
+    leader_deaf_ = false;
     auto waiting = std::exchange(pending_, {});
     unsent_.clear();
     batch_open_ = false;
@@ -305,6 +324,7 @@
   if (!pending_.empty() && batch_open_ && !watching_replies_) watch_replies(now);
   // Machines come and go; only recent ones matter.
   if (redirected_.size() > kRelayMachines) std::erase_if(redirected_, [&](const auto& x) { return now - x.second > kBouncedMs; });
+  if (welcomed_.size() > kRelayMachines) std::erase_if(welcomed_, [&](const auto& x) { return now - x.second > kBouncedMs; });
   if (relaying_.size() > kRelayMachines) std::erase_if(relaying_, [&](const auto& x) { return now - x.second > kRelayMs; });
 }
 
--- a/src/core/relay.hpp
+++ b/src/core/relay.hpp
@@ -24,7 +24,8 @@
   Relay(Outbox& out, StoreClient& store, Leadership& leadership, const settings::Platform& platform, Handle handle);
 
   // Follower.
-  void heard(Ms now, const std::string& node);  // a sign of life
+  // A sign of life. `deaf`: that node leads and hears its workers only by way of others.
+  void heard(Ms now, const std::string& node, bool deaf = false);
   bool reachable(Ms now) const;
   // Takes a worker's report if it should be passed on rather than redirected.
   bool pass_on(Ms now, std::uint64_t request, const wire::Report& report, std::string_view body, Ms until);
@@ -65,6 +66,7 @@
   };
   bool up(Ms now, const std::string& node) const;
   const std::string& zone_of(const std::string& node) const;
+  void send_to_leader(Ms now, std::uint64_t request, std::string_view body, Ms until, bool near);
   void flush_store(Ms now);
   void watch_replies(Ms now);
   void watch_asks(Ms now);
@@ -79,7 +81,8 @@
   Handle handle_;
 
   std::map<std::string, Ms> heard_;  // node -> when
-  std::map<std::string, Ms> redirected_, relaying_;  // machine -> since
+  std::map<std::string, Ms> welcomed_, redirected_, relaying_;  // machine -> since
+  bool leader_deaf_ = false;
   std::unordered_map<std::uint64_t, Pending> pending_;
   std::uint64_t next_id_;
   std::string asked_leader_;
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -120,8 +120,10 @@
 // ms without a renewed lease after which the leader asks for promises.
 inline constexpr std::int64_t kAskAfterMs = 1300;
 
-// ms. A leader that hears its workers only through others for this long leaves the lead to them.
-inline constexpr std::int64_t kDeafMs = 6000;
+// ms. A leader that no worker has reached for this long (they report every two seconds or so) tells the others,
+// which then pass on all reports; after the second time it leaves the lead to them. Passing on costs little,
+// a takeover a lease of doubt.
+inline constexpr std::int64_t kDeafAfterMs = 3000, kDeafMs = 30000;
 // ms. It then does not contend for this long.
 inline constexpr std::int64_t kAbstainMs = 20000;
 
@@ -148,8 +150,12 @@
 inline constexpr double kKeepS = 4;
 // Names of returned machines remembered, so that stale lists and late reports do not revive them.
 inline constexpr std::size_t kTombstones = 2000;
-// Different jobs that must fail on a machine before the machine is blamed.
-inline constexpr int kFaultyJobs = 2;
+// Failures of jobs that complete elsewhere from which a machine is blamed, unless it completed this many times
+// as many tasks since the first of them; and machines on which a job fails, completing nowhere, before the job is.
+inline constexpr std::uint32_t kFaultyFailures = 2, kFaultyRatio = 10;
+inline constexpr std::size_t kSuspectMachines = 2;
+// Machines remembered for a job that fails; a job that fails on more is at fault itself.
+inline constexpr std::size_t kBlameMachines = 64;
 // Weight of the newest task in a machine's pace, and the paces from which it is used last (half as
 // fast again as the rest is beyond the spread of a job's tasks) and not at all.
 inline constexpr double kPaceWeight = 0.3, kSlowPace = 1.5, kFaultyPace = 3;
