--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -12,6 +12,7 @@
 
 constexpr const char* kLeaderKey = "leader";
 constexpr const char* kTermKey = "term";
+constexpr const char* kLedKey = "led";  // who led last, and in which term
 
 // The leader's own view of its lease: counted from before the request was sent, shortened by drift.
 Ms conservative(Ms sent) {
@@ -27,9 +28,19 @@
 void Leadership::start(Ms now) {
   started_ = now;
   // No term was ever stored: nobody has led, and nobody can have been promised anything.
-  store_.get(now, Rank::lease, kTermKey, [this](Ms t, int status, std::string_view) {
+  store_.get(now, Rank::lease, kTermKey, [this](Ms t, int status, std::string_view body) {
     first_ever_ = status == 404;
-    read(t);
+    const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
+    if (!item || !item->value.is_number_unsigned()) return read(t);
+    // The one before this process may have been the last to lead: then nobody acts, and nothing that it
+    // promised earlier is still open. The term guards against a record that a later leader did not write.
+    store_.get(t, Rank::lease, kLedKey, [this, term = item->value.get<std::uint64_t>()](Ms t2, int status2, std::string_view body2) {
+      const auto led = status2 == 200 ? wire::parse_item(body2) : std::nullopt;
+      if (led && led->value.is_object() && led->value.value("node", "") == node_ &&
+          led->value.value("term", std::uint64_t{0}) == term)
+        former_ours_ = true;
+      read(t2);
+    });
   });
 }
 
@@ -217,7 +228,8 @@
       txn.if_version(kLeaderKey, 0)
           .if_version(kTermKey, version)
           .put(kLeaderKey, json{{"node", node_}, {"term", term}}.dump(), lease_)
-          .put(kTermKey, json(term).dump());
+          .put(kTermKey, json(term).dump())
+          .put(kLedKey, json{{"node", node_}, {"term", term}}.dump());
       store_.commit(t2, Rank::lease, txn, [this, term](Ms t3, int status3, std::string_view body3) {
         if (status3 == 200) {
           if (auto rev = wire::parse_revision(body3)) return win(t3, *rev, term);
