--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -140,6 +140,7 @@
   bool late(const JobState& job, double wait_s) const;
   bool in_limit(const JobState& job) const;  // one more task of it
   bool entitled(const JobState& job) const;
+  bool is_guest(const JobState& job) const;
   bool zone_allows(const JobState& job, int zone) const;
   // When tasks are expected to end, worked out once a placement for each machine that asks.
   struct Ends {
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -75,6 +75,12 @@
          (job.spec.gpus <= 0 || team.used_gpus + job.spec.gpus <= team.gpus_max + eps);
 }
 
+// Its team is guaranteed nothing and takes what the others leave.
+bool Leader::is_guest(const JobState& job) const {
+  const auto& team = teams_[static_cast<std::size_t>(job.team)];
+  return team.cpus <= 0 && team.gpus <= 0;
+}
+
 // One more task of the job is within what its team is guaranteed, counting what the team uses now. A job that
 // as a whole is beyond the guarantee still has a right to this part of it: found on the bench, where a guest
 // team's long tasks held the fleet while teams with hundreds of waiting processors used a tenth of what they
@@ -236,7 +242,7 @@
   dirty_ = false;
 
   struct Key {
-    bool guest, late;  // guest: its team is guaranteed nothing and takes what the others leave
+    bool guest, late;
     double key;
     JobState* job;
   };
@@ -245,8 +251,7 @@
   for (auto& [id, job] : jobs_) {
     if (!job->active() || job->waiting == 0 || job->team < 0 || now < job->not_before) continue;
     const double wait = static_cast<double>(now - job->seen) / 1000;
-    const auto& team = teams_[static_cast<std::size_t>(job->team)];
-    order.push_back({team.cpus <= 0 && team.gpus <= 0, late(*job, wait), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
+    order.push_back({is_guest(*job), late(*job, wait), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
   }
   work_ += jobs_.size();
   std::sort(order.begin(), order.end(), [](const Key& a, const Key& b) {
--- a/src/core/leader_preemption.cpp
+++ b/src/core/leader_preemption.cpp
@@ -95,7 +95,9 @@
       auto* m = open[at];
       for (auto* p : best.victims) {
         p->stopping = m->stopping = true;
-        p->grace_s = p->job->spec.save_s + kGraceSpareS;
+        // A guest team's task goes at once for work within a guarantee, back to its last checkpoint: the time
+        // it would take to save is most of what a guarantee allows for a start.
+        p->grace_s = job->owed && is_guest(*p->job) ? 0 : p->job->spec.save_s + kGraceSpareS;
         // What is being stopped frees its room now in the books; the launch waits for the facts.
         m->room.add(size_of(p->job->spec));
         p->room_given = true;
@@ -125,7 +127,9 @@
   if (p.stopping || p.stage == Stage::assigned || p.stage == Stage::saving || p.job == &job) return -1;
   const auto& team = teams_[static_cast<std::size_t>(p.job->team)];
   const bool lower = p.job->spec.priority < job.spec.priority && (job.owed || !p.job->owed);
-  const bool borrowed = (job.owed || entitled(job)) && !p.job->owed && p.job->team != job.team &&
+  // For a whole job within its team's guarantee whoever borrows gives way; for the part of a larger job only
+  // guests do: among teams with guarantees it was measured to cost more, in saving and moving, than it gave.
+  const bool borrowed = (job.owed || (entitled(job) && is_guest(*p.job))) && !p.job->owed && p.job->team != job.team &&
                         team.used_cpus > team.cpus + 1e-9;
   if (!lower && !borrowed) return -1;
   const double run = run_time(*p.job);
