--- a/tests/live_view_test.cpp
+++ b/tests/live_view_test.cpp
@@ -82,6 +82,40 @@
   EXPECT_EQ(requests[0], requests[1]);
 }
 
+// Polls for ids that nobody submitted cost one read of the final records each, behind all other work, and are
+// refused once many wait.
+TEST(LiveView, AThousandPollsForUnknownIdsAreBounded) {
+  settings::Platform platform;
+  Outbox out;
+  StoreClient client(out, 100, 100, 1);
+  Front front(out, client, platform, [](Ms, const std::string&, auto) {});
+  standins::Store store;
+  Ms now = 1000;
+  std::size_t unknown = 0, refused = 0, requests = 0;
+  for (int i = 0; i < 1000; ++i) front.status(now, static_cast<std::uint64_t>(i), "run-" + std::to_string(500000 + i));
+  for (; now < 21'000; now += 100) {
+    auto e = out.take();
+    for (const auto& r : e.replies) (r.status == 404 ? unknown : refused) += 1;
+    for (auto& c : e.calls) {
+      ++requests;
+      store.handle(now, "GET", c.path, "", [&](const standins::Response& r) { out.complete(now, c.id, r.status, r.body); });
+    }
+    client.pump(now);
+    front.tick(now);
+  }
+  EXPECT_EQ(unknown + refused, 1000U);
+  EXPECT_EQ(unknown, 1000U);
+  EXPECT_EQ(requests, 1002U);  // two reads of the unfinished jobs: the first poll's, and all the others'
+  for (int i = 0; i < 1100; ++i) front.status(now, static_cast<std::uint64_t>(2000 + i), "run-" + std::to_string(600000 + i));
+  std::size_t at_once = 0;
+  for (const auto& r : out.take().replies) at_once += r.status == 429 && r.retry_after_s > 0 ? 1 : 0;
+  EXPECT_EQ(at_once, 1100U - settings::kPollsMost);
+  front.status(now, 1001, "run-99999x!");
+  const auto e = out.take();
+  ASSERT_EQ(e.replies.size(), 1U);
+  EXPECT_EQ(e.replies[0].status, 404);
+}
+
 // The read that is under way may be older than the poll: it must not answer it.
 TEST(LiveView, APollIsNotAnsweredByAReadSentBeforeIt) {
   Desk d;
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -370,6 +370,49 @@
   EXPECT_LT(w.leader()->cost().first - before, 3U * 1200);
 }
 
+// What a worker may say that nobody expects: it is cleared or stopped, and nothing else comes of it.
+TEST(OddReports, AreClearedAndBlameNobody) {
+  Scenario s;
+  s.seed = 6;
+  s.run_ms = 20'000;
+  s.settle_ms = 60'000;
+  World w(s);
+  w.run();
+  ASSERT_NE(w.leader(), nullptr);
+  std::string over;  // a job that is done
+  for (const auto& [id, job] : w.judge.jobs)
+    if (job.told_done) over = id;
+  ASSERT_FALSE(over.empty());
+  wire::Report r;
+  r.machine = "n-888888";  // no list has shown it
+  r.addr = "10.1.0.1:9000";
+  r.type = "small";
+  r.session = 1;
+  r.zone = "east";
+  if (w.ask_leader(core::Method::post, "/agent/beat", wire::encode(r)).status == 421) r.zone = "west";  // the leader's
+  r.tasks = {{"run-987654", 0, 1, wire::TaskState::ended, wire::Cause::error, false},
+             {over, 0, 7, wire::TaskState::ended, wire::Cause::error, false},
+             {over, 99'999, 8, wire::TaskState::ended, wire::Cause::stopped, true}};
+  for (r.seq = 1; r.seq <= 3; ++r.seq) {  // and says it again
+    auto body = nlohmann::json::parse(wire::encode(r));
+    body["Lots"][1]["Cause"] = "moonlight";  // no cause that is known: a failure
+    const auto answer = w.ask_leader(core::Method::post, "/agent/beat", body.dump());
+    ASSERT_EQ(answer.status, 200) << answer.body;
+    const auto said = wire::parse_report_answer(answer.body);
+    ASSERT_TRUE(said);
+    ASSERT_EQ(said->commands.size(), 3U);
+    for (const auto& c : said->commands) EXPECT_EQ(c.op, wire::Command::Op::forget);
+  }
+  for (const auto& l : w.log) EXPECT_EQ(l.find("n-888888 fails"), std::string::npos) << l;
+  // The machine is taken into use, and in the end returned, like any other.
+  r.tasks.clear();
+  r.type = "unheard-of";
+  r.machine = "n-888889";
+  r.seq = 1;
+  EXPECT_EQ(w.ask_leader(core::Method::post, "/agent/beat", wire::encode(r)).status, 503);
+  EXPECT_EQ(w.ask_leader(core::Method::post, "/agent/beat", "{\"Post\":1}").status, 400);
+}
+
 // ---- the judge catches a broken core --------------------------------------------------------------
 
 std::set<std::string> broken_by(std::function<void(std::int64_t, int, core::Effects&)> saboteur,
