--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -29,7 +29,9 @@
 
 void Relay::heard(Ms now, const std::string& node, bool deaf) {
   heard_[node] = now;
-  if (node == leadership_.leader()) leader_deaf_ = deaf;
+  if (node != leadership_.leader() || deaf == leader_deaf_) return;
+  leader_deaf_ = deaf;
+  out_.log(Level::info, deaf ? "no worker reaches the leader; passing on all reports" : "workers reach the leader again");
 }
 
 bool Relay::up(Ms now, const std::string& node) const {
