No flag for a deaf leader: it could keep a leader deaf that workers reach

Passing the first report on is enough by itself: the test of a leader cut off from its workers still loses no lease. And a test that the last leader takes over at once after all controllers crashed.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -90,7 +90,6 @@
     wire::PeerMessage ping;
     ping.kind = wire::PeerMessage::Kind::ping;
     ping.a = leadership_.term();
-    ping.b = leader_ && now - leader_->last_direct() > kDeafAfterMs ? 1 : 0;
     if (leadership_.wants_promises(now)) {
       ping.kind = wire::PeerMessage::Kind::promise_ask;
       ping.id = leadership_.ask(now);
@@ -274,7 +273,7 @@
   if (!m) return;
   using Kind = wire::PeerMessage::Kind;
   if (m->kind == Kind::promise_ask) {
-    relay_.heard(now, node, m->b != 0);
+    relay_.heard(now, node);
     if (!leadership_.grant(now, m->a)) return;
     wire::PeerMessage yes;
     yes.kind = Kind::promise;
@@ -283,7 +282,7 @@
   } else if (m->kind == Kind::promise) {
     leadership_.granted(now, node, m->id);
   } else if (m->kind == Kind::ping) {
-    relay_.heard(now, node, m->b != 0);
+    relay_.heard(now, node);
   } else if (m->kind == Kind::relay_ask) {
     if (leader_ && leadership_.leading()) relay_.peer_ask(now, node, *m);
   } else if (m->kind == Kind::relay_answer) {
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -27,12 +27,7 @@
 
 // ---- follower -------------------------------------------------------------------------------------
 
-void Relay::heard(Ms now, const std::string& node, bool deaf) {
-  heard_[node] = now;
-  if (node != leadership_.leader() || deaf == leader_deaf_) return;
-  leader_deaf_ = deaf;
-  out_.log(Level::info, deaf ? "no worker reaches the leader; passing on all reports" : "workers reach the leader again");
-}
+void Relay::heard(Ms now, const std::string& node) { heard_[node] = now; }
 
 bool Relay::up(Ms now, const std::string& node) const {
   const auto it = heard_.find(node);
@@ -76,7 +71,7 @@
   const bool near = reachable(now);
   auto& since = relaying_[report.machine];
   const bool ours = home(now, report) == node_;
-  bool relay = ours || !near || leader_deaf_ || (since != 0 && now - since < kRelayMs);
+  bool relay = ours || !near || (since != 0 && now - since < kRelayMs);
   if (!relay) {
     // A worker that has just come may have lost 5 s at a silent node, which may well be the leader. Its first
     // report is passed on, so that it goes back there with a fresh lease. Redirected at once, it was back
@@ -99,8 +94,8 @@
   if (since == 0) {
     // Only a worker that bounced off a leader which this node reaches stays here: once a leader is
     // heard again, the others go back to it.
-    since = ours || !near || leader_deaf_ ? 0 : now;
-    if (!ours && !leader_deaf_)
+    since = ours || !near ? 0 : now;
+    if (!ours)
       out_.log(Level::info, "passing on reports of " + report.machine + (near ? " to the leader" : " through the store"));
   }
   send_to_leader(now, request, body, until, near);
@@ -303,7 +298,6 @@
   if (asked_leader_ != leadership_.leader() || asked_term_ != leadership_.term()) {
     asked_leader_ = leadership_.leader();
     asked_term_ = leadership_.term();
-    leader_deaf_ = false;
     auto waiting = std::exchange(pending_, {});
     unsent_.clear();
     batch_open_ = false;
--- a/src/core/relay.hpp
+++ b/src/core/relay.hpp
@@ -24,8 +24,7 @@
   Relay(Outbox& out, StoreClient& store, Leadership& leadership, const settings::Platform& platform, Handle handle);
 
   // Follower.
-  // A sign of life. `deaf`: that node leads and hears its workers only by way of others.
-  void heard(Ms now, const std::string& node, bool deaf = false);
+  void heard(Ms now, const std::string& node);  // a sign of life
   bool reachable(Ms now) const;
   // Takes a worker's report if it should be passed on rather than redirected.
   bool pass_on(Ms now, std::uint64_t request, const wire::Report& report, std::string_view body, Ms until);
@@ -82,7 +81,6 @@
 
   std::map<std::string, Ms> heard_;  // node -> when
   std::map<std::string, Ms> welcomed_, redirected_, relaying_;  // machine -> since
-  bool leader_deaf_ = false;
   std::unordered_map<std::uint64_t, Pending> pending_;
   std::uint64_t next_id_;
   std::string asked_leader_;
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -120,10 +120,9 @@
 // ms without a renewed lease after which the leader asks for promises.
 inline constexpr std::int64_t kAskAfterMs = 1300;
 
-// ms. A leader that no worker has reached for this long (they report every two seconds or so) tells the others,
-// which then pass on all reports; after the second time it leaves the lead to them. Passing on costs little,
-// a takeover a lease of doubt.
-inline constexpr std::int64_t kDeafAfterMs = 3000, kDeafMs = 30000;
+// ms. A leader that hears its workers only through others for this long leaves the lead to them. Passing on costs
+// little, a takeover a lease of doubt.
+inline constexpr std::int64_t kDeafMs = 30000;
 // ms. It then does not contend for this long.
 inline constexpr std::int64_t kAbstainMs = 20000;
 
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -159,6 +159,27 @@
   EXPECT_EQ(w.busy_returned, 0U);
 }
 
+// Found in an incident: once the former leader's lease had ended too, restarted controllers waited for promises
+// that nobody could have asked for.
+TEST(Takeover, AfterAllCrashedTheLastLeaderWaitsForNoPromise) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    Scenario s;
+    s.seed = seed;
+    s.loss = 0;
+    s.run_ms = 70'000;
+    s.settle_ms = 60'000;
+    s.events = {{50'000, "crash all"}};  // back at 55 s
+    World w(s);
+    w.run();
+    EXPECT_TRUE(w.judge.broken.empty()) << report(w);
+    long long led = 0;
+    for (const auto& l : w.log)
+      if (l.find("leading in term") != std::string::npos) led = std::stoll(l);
+    EXPECT_GE(led, 55'000);
+    EXPECT_LT(led, 56'500) << "seed " << seed;
+  }
+}
+
 // Two zones apart: workers report to a controller of their own zone, which relays through the store.
 TEST(Relay, ZonesApartLoseNoLease) {
   Scenario s;
