--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -27,7 +27,7 @@
     : platform_(std::move(platform)),
       operator_(std::move(op)),
       store_(out_, platform_.state_rps, platform_.state_write_rps, platform_.nodes),
-      leadership_(out_, store_, platform_.node, seed, all_peers(platform_)),
+      leadership_(out_, store_, platform_.node, seed, all_peers(platform_), operator_.get("roster", {}) != 0),
       front_(out_, store_, platform_, [this](Ms now, const std::string& id, auto done) { ask_counts(now, id, std::move(done)); }),
       relay_(out_, store_, leadership_, platform_,
              [this](Ms now, std::uint64_t id, wire::Report report, bool by_store) {
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -33,6 +33,10 @@
       term_(leadership.term()),
       leader_version_(leadership.key_version()),
       wall_minus_steady_(wall_minus_steady),
+      roster_on_(op.get("roster", {}) != 0),
+      roster_({std::min(kRosterChunkMost, static_cast<std::size_t>(platform.state_value_kb * 1024 * kRosterChunkShare)), kRosterBatchMost,
+               platform.state_txn_ops, std::max(1.0, platform.state_write_rps * kStoreShare * (platform.nodes > 1 ? kLeaderShare : 1) * kRosterShare),
+               kRosterSoonMs}),
       zones_(platform.zones),
       cloud_(platform.cloud_rps * kStoreShare, platform.cloud_rps),
       selector_(seed + 1, kLambda, admitted(op)) {
@@ -85,15 +89,19 @@
       job->chunk_dirty[chunk] = false;
     }
     if (page->more && !page->items.empty()) return load_progress(t, page->items.back().key);
-    loaded(t);
+    load_roster(t, "");
   }));
 }
 
 void Leader::loaded(Ms now) {
   loaded_ = true;
-  std::size_t doubt = 0;
+  take_roster(now);
+  std::size_t doubt = 0, machines = 0, placed = 0;
   for (auto& [id, job] : jobs_) {
     if (job->done > 0) blame_.proved(job->index);
+    placed += job->placed;
+    doubt += job->doubt;
+    if (leadership_.roster_whole()) continue;
     for (std::uint32_t t = 0; t < std::min(job->mark, job->spec.tasks); ++t) {
       if (job->phase[t] != TaskPhase::waiting) continue;
       job->set(t, TaskPhase::doubt);
@@ -101,7 +109,8 @@
       ++doubt;
     }
   }
-  log(Event::takeover_loaded, term_, jobs_.size(), doubt);
+  for (const auto* m : fleet_) machines += m->rostered ? 1 : 0;
+  log(Event::takeover_loaded, term_, jobs_.size(), leadership_.roster_whole() ? "whole" : roster_on_ ? "partial" : "none", machines, placed, doubt);
   std::vector<std::string> ids;
   for (auto& [id, job] : jobs_) ids.push_back(id);
   for (const auto& id : ids)
@@ -284,6 +293,7 @@
   auto& job = *it->second.job;
   vacate(m, it);
   if (m.tasks.empty()) m.idle_since = now;
+  if (roster_on_) roster_.changed(now, m.name);
   if (job.withdrawn) persist(now, job);
 }
 
@@ -299,13 +309,14 @@
 void Leader::gauge(Ms now) const {
   using telemetry::Gauge;
   auto& f = out_.figures();
-  double waiting = 0, placed = 0, doubt = 0, up = 0, booting = 0, lost = 0, leaving = 0, held = 0;
+  double waiting = 0, placed = 0, doubt = 0, up = 0, booting = 0, lost = 0, leaving = 0, held = 0, unheard = 0;
   for (const auto& [id, job] : jobs_) {
     waiting += job->waiting;
     placed += job->placed;
     doubt += job->doubt;
   }
   for (const auto* m : fleet_) {
+    if (m->rostered && !m->lost) unheard += static_cast<double>(m->tasks.size());
     if (m->held) ++held;
     ++(m->lost ? lost : !m->up ? booting : usable(now, *m) ? up : leaving);
   }
@@ -317,10 +328,39 @@
   f.set(Gauge::machines, booting, 1);
   f.set(Gauge::machines, lost, 2);
   f.set(Gauge::machines, leaving, 3);
-  f.set(Gauge::doubt, doubt);
+  f.set(Gauge::doubt, doubt + unheard);
   f.set(Gauge::held, held);
 }
 
+// What a stall looks like from inside, five seconds apart.
+void Leader::tell_state(Ms now) {
+  if (now < next_state_) return;
+  next_state_ = now + kStateMs;
+  std::size_t up = 0, fit = 0, booting = 0, assigned = 0, stopping = 0, waiting = 0, owed = 0, limited = 0;
+  double cpus = 0, placed = 0, running = 0;
+  for (const auto* m : fleet_) {
+    up += m->up && !m->lost ? 1 : 0;
+    booting += !m->up && !m->lost ? 1 : 0;
+    if (usable(now, *m)) {
+      ++fit;
+      cpus += m->whole.cpus;
+    }
+    for (const auto& [key, p] : m->tasks) {
+      placed += p.job->spec.cpus;
+      if (p.stage == Stage::running) running += p.job->spec.cpus;
+      assigned += p.stage == Stage::assigned ? 1 : 0;
+      stopping += p.stopping ? 1 : 0;
+    }
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (!job->active() || job->team < 0) continue;
+    waiting += job->waiting;
+    if (job->owed) owed += job->waiting;
+    if (!in_limit(*job)) limited += job->waiting;
+  }
+  log(Event::fleet_state, up, fit, booting, cpus, placed, running, assigned, stopping, waiting, owed, limited);
+}
+
 void Leader::resign() {
   for (auto* m : fleet_) {
     if (m->held) out_.reply(*m->held, 503, wire::error_body("no leader"));
@@ -356,11 +396,14 @@
   schedule(now);
   preempt(now);
   for (auto* m : fleet_) {
-    if (m->held && now - m->held_since >= kHoldReportMs) answer(now, *m, true);
+    if (m->held && now - m->held_since >= m->held_most) answer(now, *m, true);
     if (m->stopping && !m->held) stop_direct(now, *m);
   }
+  settle(now);
+  write_roster(now);
   cloud_round(now);
   select(now);
+  tell_state(now);
 }
 
 JobState* Leader::find(const std::string& id) {
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -16,9 +16,11 @@
 #include "core/store_client.hpp"
 #include "portfolio/predictor.hpp"
 #include "portfolio/selector.hpp"
+#include "roster/roster.hpp"
 #include "settings/expression.hpp"
 #include "settings/platform.hpp"
 #include "wire/cloud.hpp"
+#include "wire/roster.hpp"
 #include "wire/worker.hpp"
 
 namespace hitchfront::core {
@@ -66,6 +68,8 @@
     double grace_s = 0;
     Ms stop_sent = 0;
     std::uint64_t listed = 0;  // the last report that listed it, by this leader's count
+    std::uint64_t booking = 0;  // the roster's batch that names it
+    bool booked = false;        // and that is stored: it may be launched
   };
   using TaskKey = std::pair<std::uint64_t, std::uint32_t>;  // job index, task
   struct Machine {
@@ -77,6 +81,7 @@
     bool up = false;         // has reported
     bool confirmed = false;  // its last report was sent after hearing from this leader
     bool lost = false;       // its lease is over
+    bool rostered = false;   // by the stored roster it was up, or may have tasks; it has not spoken in this term
     bool emptying = false;  // its tasks move elsewhere, then it is returned
     bool draining = false, releasing = false, failed = false;
     Ms born = 0, last_report = 0, lease_over = 0, lost_at = 0, taken_at = 0, idle_since = 0;
@@ -86,7 +91,7 @@
     double pace = 1;  // its tasks' run times against their jobs' means
     Ms known = 0;  // to this leader, since
     std::optional<std::uint64_t> held;  // report waiting for its answer
-    Ms held_since = 0;
+    Ms held_since = 0, held_most = 0;
     std::map<TaskKey, Placement> tasks;
     std::vector<wire::ReportedTask> reported;  // the newest report's
     std::vector<int> images;                   // most recent last
@@ -174,11 +179,22 @@
   void list(Ms now, std::string after);
   Machine* add_machine(Ms now, const std::string& name, const std::string& type,
                        const std::string& zone, bool spot);
-  void forget_machine(const std::string& name);
+  void forget_machine(Ms now, const std::string& name);
   bool can_call_cloud(Ms now);
   void cloud_answered(Ms now, int status, bool no_capacity = false);
   std::string offer_text(int type, int zone, bool spot) const;
 
+  // roster
+  void load_roster(Ms now, std::string after);
+  void take_roster(Ms now);
+  void take_rostered(Ms now, const wire::RosterMachine& stored);
+  void write_roster(Ms now);
+  void reread_roster(Ms now);
+  void roster_stored(Ms now, const roster::Roster::Batch& batch);
+  std::string describe(const roster::Names& machines, std::uint64_t batch);
+  void settle(Ms now);
+  void tell_state(Ms now);
+
   // store
   void persist(Ms now, JobState& job);
   void finish(Ms now, JobState& job);
@@ -211,7 +227,22 @@
   const std::int64_t wall_minus_steady_;
   std::uint64_t next_attempt_ = 1, next_rental_ = 1, next_job_ = 1;
   Ms doubt_over_ = 0, last_direct_ = 0, last_detour_ = 0;
-  bool loaded_ = false, doubt_open_ = true, dirty_ = true;
+  bool loaded_ = false, doubt_open_ = true, dirty_ = true, settled_ = false;
+  std::size_t nowhere_ = 0, silent_ = 0;  // tasks found on no machine, and machines that stayed silent
+
+  const bool roster_on_;
+  roster::Roster roster_;
+  struct StoredChunk {
+    std::uint32_t chunk = 0;
+    std::uint64_t version = 0;
+    std::vector<wire::RosterMachine> machines;
+  };
+  std::vector<StoredChunk> stored_roster_;   // until loaded
+  std::map<std::uint32_t, Ms> reread_at_;    // chunks whose version in the store is not known
+  // Machines of the roster that are of no type known here: written again as they are until their leases are over.
+  std::map<std::string, wire::RosterMachine> strangers_;
+  std::uint64_t whole_after_ = 0;  // once everything was stored after this batch, the roster is whole
+  bool making_whole_ = false;
   std::uint64_t revision_ = 0;
   Ms watch_at_ = 0, next_watch_ = 0, next_cloud_ = 0, next_list_ = 0, next_select_ = 0, next_preempt_ = 0;
   bool listing_ = false;
@@ -241,7 +272,7 @@
   std::size_t selection_jobs_ = 0, selection_machines_ = 0;  // what is being replayed, for the log
   std::uint64_t selection_steps_ = 0;
   std::uint64_t work_ = 0, reports_ = 0;
-  Ms next_place_ = 0, stir_at_ = 0, began_ = 0;
+  Ms next_place_ = 0, stir_at_ = 0, began_ = 0, next_state_ = 0;
 };
 
 }  // namespace hitchfront::core
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -64,14 +64,16 @@
   auto* p = m.get();
   machines_[name] = std::move(m);
   fleet_.push_back(p);
+  if (roster_on_) roster_.add(now, name);
   return p;
 }
 
-void Leader::forget_machine(const std::string& name) {
+void Leader::forget_machine(Ms now, const std::string& name) {
   auto it = machines_.find(name);
   if (it == machines_.end()) return;
   if (it->second->held) out_.reply(*it->second->held, 503, wire::error_body("machine returned"));
   blame_.forget_machine(name);
+  if (roster_on_) roster_.remove(now, name);
   std::erase(fleet_, it->second.get());
   machines_.erase(it);
   if (tombstones_.insert(name).second) tombstone_order_.push_back(name);
@@ -258,7 +260,7 @@
                          now - m->known > kStuckMs + lease_ms(platform_);
       const bool lost = m->lost && now - m->lost_at > kLostReturnMs;
       // Its notice has run out, or nothing is left on it: once returned, its tasks are surely gone.
-      const bool taken = m->taken_at != 0 && ((m->tasks.empty() && m->reported.empty()) || now - m->last_report > kSilentMs);
+      const bool taken = m->taken_at != 0 && ((m->tasks.empty() && m->reported.empty()) || now - m->last_report > silent_ms(platform_));
       const bool emptied = m->emptying && m->tasks.empty() && m->reported.empty();
       const bool drained = m->draining && m->tasks.empty();
       const bool idle = m->up && m->confirmed && !m->lost && m->tasks.empty() && m->reported.empty() &&
@@ -300,7 +302,7 @@
       std::vector<TaskKey> keys;
       for (const auto& [key, p] : it->second->tasks) keys.push_back(key);
       for (const auto& key : keys) gone(t, *it->second, key);
-      forget_machine(n);
+      forget_machine(t, n);
     }
     dirty_ = true;
   }));
--- a/src/core/leader_parts.hpp
+++ b/src/core/leader_parts.hpp
@@ -1,5 +1,6 @@
 // What several of the leader's concerns use.
 #pragma once
+#include <algorithm>
 #include <cmath>
 #include <string>
 
@@ -22,4 +23,16 @@
   return static_cast<Ms>(std::ceil(p.lease_s * 1000 * (1 + 2 * settings::kDrift))) + settings::kLeaseMarginMs;
 }
 
+inline Ms report_ms(const settings::Platform& p) { return static_cast<Ms>(p.report_s * 1000); }
+
+// Silence after which a machine is not counted on. A constant of 4 s, right for reports every 2 s, made a sixth of the
+// fleet unusable at any moment where they come every 5 s, and took back assignments just before they could be launched.
+inline Ms silent_ms(const settings::Platform& p) {
+  return std::max(settings::kSilentLeastMs, static_cast<Ms>(static_cast<double>(report_ms(p)) * settings::kSilentReports) + settings::kSilentSpareMs);
+}
+
+inline Ms hold_ms(const settings::Platform& p) {
+  return std::clamp(static_cast<Ms>(static_cast<double>(report_ms(p)) * settings::kHoldShare), settings::kHoldLeastMs, settings::kHoldMostMs);
+}
+
 }  // namespace hitchfront::core
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -143,7 +143,7 @@
     auto& m = *open[merits.back().at];
     merits.pop_back();
     // Zones may have closed to the job with its own last task.
-    while (tries > 0 && size.fits(m.room) && in_limit(job) && allowed_on(job, m)) {
+    while (tries > 0 && size.fits(m.room) && in_limit(job) && allowed_on(job, m) && m.tasks.size() < kMachineTasksMost) {
       const auto task = job.next_waiting();
       if (task < 0) return;
       assign(now, job, m, static_cast<std::uint32_t>(task));
@@ -192,7 +192,9 @@
 void Leader::assign(Ms now, JobState& job, Machine& m, std::uint32_t task) {
   Placement p;
   p.since = now;
+  p.booked = !roster_on_;
   occupy(m, job, task, p);
+  if (roster_on_) roster_.needed(now, m.name);
   std::erase(m.images, job.image);
   m.images.push_back(job.image);
   if (m.images.size() > kImagesKnown) m.images.erase(m.images.begin());
@@ -272,6 +274,7 @@
       std::erase_if(open, [](const Machine* m) { return m->room.cpus < 1e-9 && m->room.gpus < 1e-9; });
     if (job.mark_wanted > job.mark) persist(now, job);
   }
+  write_roster(now);
   for (auto* m : fleet_)
     if (m->held && m->assigned > 0) answer(now, *m, false);
 }
--- a/src/core/leader_preemption.cpp
+++ b/src/core/leader_preemption.cpp
@@ -52,7 +52,7 @@
     const auto offer_of = [&](std::uint32_t at) -> std::optional<Offer> {
       auto* m = open[at];
       ++work_;
-      if (!size.fits(m->whole) || !allowed_on(*job, *m)) return std::nullopt;
+      if (!size.fits(m->whole) || !allowed_on(*job, *m) || m->tasks.size() >= kMachineTasksMost) return std::nullopt;
       Offer o;
       o.at = at;
       Size room = m->room;
@@ -115,6 +115,7 @@
     }
     if (job->mark_wanted > job->mark) persist(now, *job);
   }
+  write_roster(now);
   for (auto* m : told)
     if (!answer(now, *m, false)) stop_direct(now, *m);
 }
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -12,7 +12,7 @@
 
 bool Leader::usable(Ms now, const Machine& m) const {
   return m.up && m.confirmed && !m.lost && !m.draining && !m.emptying && !m.releasing && !m.failed && m.taken_at == 0 &&
-         now - m.last_report < kSilentMs;
+         now - m.last_report < silent_ms(platform_);
 }
 
 void Leader::report(Ms now, std::uint64_t request, wire::Report report, Way way) {
@@ -75,6 +75,7 @@
   m->session = r->session;
   m->seq = r->seq;
   m->last_report = now;
+  if (r->token == term_) m->rostered = false;
   if (!m->confirmed && r->token == term_)
     out_.figures().observe(telemetry::Spread::confirm_s, static_cast<double>(now - began_) / 1000);
   m->confirmed = r->token == term_;
@@ -108,9 +109,12 @@
   dirty_ = true;
   schedule(now);
   if (!m->held) return;
-  const bool worth_holding = usable(now, *m) && m->room.cpus >= 1 && m->room.memory_gb > 0;
+  // An assignment waits for the roster; its launch is to be in this answer, not in the next, a whole period later.
+  const bool launches = m->assigned > 0;
+  const bool worth_holding = usable(now, *m) && (launches || (m->room.cpus >= 1 && m->room.memory_gb > 0));
   // The way back through the store takes long enough as it is.
-  answer(now, *m, way == Way::store || !worth_holding);
+  m->held_most = way == Way::store ? kHoldRelayedMs : hold_ms(platform_);
+  answer(now, *m, !worth_holding || (way == Way::store && !launches));
 }
 
 void Leader::take_tasks(Ms now, Machine& m, const wire::Report& r) {
@@ -170,7 +174,7 @@
     if (t.state != wire::TaskState::fetching && t.state != wire::TaskState::saving && p.run_since == 0 &&
         p.stage != Stage::assigned) {
       p.run_since = now;
-      out_.figures().observe(telemetry::Spread::start_s, static_cast<double>(now - job->seen) / 1000,
+      if (p.sent_seq != 0) out_.figures().observe(telemetry::Spread::start_s, static_cast<double>(now - job->seen) / 1000,
                              static_cast<std::size_t>(job->spec.priority));
     }
     if (p.stage == Stage::assigned) --m.assigned;
@@ -262,7 +266,7 @@
       if (commands.size() >= kCommandsMost) break;
       if (!size_of(p.job->spec).fits(room)) continue;
       // Dropped as late as possible: a job withdrawn meanwhile starts nothing.
-      if (p.stage != Stage::assigned || !p.job->active() || p.task >= p.job->mark) continue;
+      if (p.stage != Stage::assigned || !p.booked || !p.job->active() || p.task >= p.job->mark) continue;
       p.stage = Stage::sent;
       --m.assigned;
       p.attempt = (term_ << kAttemptBits) | next_attempt_++;
@@ -310,10 +314,12 @@
   if (doubt_open_ && loaded_ && now > doubt_over_) {
     doubt_open_ = false;
     std::vector<JobState*> withdrawn;
-    std::size_t nowhere = 0;
+    for (const auto& [name, m] : strangers_)
+      if (!machines_.contains(name)) roster_.remove(now, name);
+    strangers_.clear();
     for (auto& [id, job] : jobs_) {
       if (job->doubt == 0) continue;
-      nowhere += job->doubt;
+      nowhere_ += job->doubt;
       for (std::uint32_t t = 0; t < job->spec.tasks; ++t)
         if (job->phase[t] == TaskPhase::doubt) {
           job->fresh = std::max(job->fresh, t + 1);
@@ -323,15 +329,17 @@
       if (job->withdrawn) withdrawn.push_back(job.get());
     }
     for (auto* j : withdrawn) persist(now, *j);
-    const double seconds = static_cast<double>(now - began_) / 1000;
-    log(Event::takeover_settled, term_, seconds, nowhere);
-    out_.figures().observe(telemetry::Spread::doubt_s, seconds);
     dirty_ = true;
   }
   // Without the right to act it answers nobody, and says no leases are over that a successor may have renewed.
   if (!may_act(now)) return;
   for (auto* m : fleet_) {
-    if (m->lost || !m->up || now <= m->lease_over) continue;
+    if (m->lost || !(m->up || m->rostered) || now <= m->lease_over) continue;
+    if (m->rostered) {
+      ++silent_;
+      nowhere_ += m->tasks.size();
+      m->rostered = false;
+    }
     m->lost = true;
     m->lost_at = now;
     m->lost_session = m->session;
--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -12,7 +12,8 @@
 
 constexpr const char* kLeaderKey = "leader";
 constexpr const char* kTermKey = "term";
-constexpr const char* kLedKey = "led";  // who led last, and in which term
+constexpr const char* kLedKey = "led";  // who led last, in which term, and whether the roster holds all that runs
+constexpr const char* kWhole = "whole";
 
 // The leader's own view of its lease: counted from before the request was sent, shortened by drift.
 Ms conservative(Ms sent) {
@@ -22,8 +23,8 @@
 }  // namespace
 
 Leadership::Leadership(Outbox& out, StoreClient& store, std::string node, std::uint64_t seed,
-                       std::vector<std::string> peers)
-    : out_(out), store_(store), node_(std::move(node)), random_(seed), peers_(std::move(peers)) {}
+                       std::vector<std::string> peers, bool roster)
+    : out_(out), store_(store), node_(std::move(node)), random_(seed), peers_(std::move(peers)), roster_(roster) {}
 
 void Leadership::start(Ms now) {
   started_ = now;
@@ -107,6 +108,10 @@
     contend(now);
   }
   if (leading_ && now >= next_touch_) touch(now);
+  if (leading_ && distrust_at_ != 0 && now >= distrust_at_) {
+    distrust_at_ = 0;
+    distrust_roster(now);
+  }
 }
 
 void Leadership::read(Ms now) {
@@ -226,25 +231,68 @@
       } else if (status2 != 404) {
         return end_contest(t2);
       }
-      ++term;
-      wire::Txn txn;
-      txn.if_version(kLeaderKey, 0)
-          .if_version(kTermKey, version)
-          .put(kLeaderKey, json{{"node", node_}, {"term", term}}.dump(), lease_)
-          .put(kTermKey, json(term).dump())
-          .put(kLedKey, json{{"node", node_}, {"term", term}}.dump());
-      store_.commit(t2, Rank::lease, txn, [this, term](Ms t3, int status3, std::string_view body3) {
-        if (status3 == 200) {
-          if (auto rev = wire::parse_revision(body3)) return win(t3, *rev, term);
-        }
-        // Lost, or unknown: if our transaction is applied after all, reading the key shows our name
-        // on a lease that nobody renews, and it is ended.
-        end_contest(t3);
+      if (version == 0) return take_over(t2, 1, 0, roster_);  // nobody ever led, and nothing was ever launched
+      store_.get(t2, Rank::lease, kLedKey, [this, term, version](Ms t3, int status3, std::string_view body3) {
+        if (status3 != 200 && status3 != 404) return end_contest(t3);
+        const auto led = status3 == 200 ? wire::parse_item(body3) : std::nullopt;
+        // Written with the term by every leader; by one of an older version, or without a roster, without this field.
+        const bool whole = led && led->value.is_object() && led->value.value("term", std::uint64_t{0}) == term &&
+                           led->value.value("roster", "") == kWhole;
+        take_over(t3, term + 1, version, roster_ && whole);
       });
     });
   });
 }
 
+std::string Leadership::led(std::uint64_t term, bool whole) const {
+  json o = {{"node", node_}, {"term", term}};
+  if (roster_) o["roster"] = whole ? kWhole : "partial";
+  return o.dump();
+}
+
+void Leadership::take_over(Ms now, std::uint64_t term, std::uint64_t term_version, bool whole) {
+  wire::Txn txn;
+  txn.if_version(kLeaderKey, 0)
+      .if_version(kTermKey, term_version)
+      .put(kLeaderKey, json{{"node", node_}, {"term", term}}.dump(), lease_)
+      .put(kTermKey, json(term).dump())
+      .put(kLedKey, led(term, whole));
+  store_.commit(now, Rank::lease, txn, [this, term, whole](Ms t, int status, std::string_view body) {
+    if (status == 200) {
+      if (auto rev = wire::parse_revision(body)) return win(t, *rev, term, whole);
+    }
+    // Lost, or unknown: if our transaction is applied after all, reading the key shows our name
+    // on a lease that nobody renews, and it is ended.
+    end_contest(t);
+  });
+}
+
+void Leadership::make_roster_whole(Ms now, std::function<void(Ms, bool)> done) {
+  if (!leading_ || !roster_ || roster_whole_) return;
+  wire::Txn txn;
+  txn.if_version(kLeaderKey, version_).put(kLedKey, led(term_, true));
+  store_.commit(now, Rank::lease, txn, [this, term = term_, done = std::move(done)](Ms t, int status, std::string_view) {
+    const bool stored = status == 200 && leading_ && term == term_;
+    if (stored) roster_whole_ = true;
+    done(t, stored);
+  });
+}
+
+void Leadership::distrust_roster(Ms now) {
+  if (!leading_ || (!roster_whole_ && !distrusting_)) return;
+  roster_whole_ = false;
+  distrusting_ = true;
+  wire::Txn txn;
+  txn.if_version(kLeaderKey, version_).put(kLedKey, led(term_, false));
+  store_.commit(now, Rank::lease, txn, [this, term = term_](Ms t, int status, std::string_view) {
+    if (!leading_ || term != term_) return;
+    if (status == 200)
+      distrusting_ = false;
+    else
+      distrust_at_ = t + kStoreRetryMs;
+  });
+}
+
 void Leadership::end_contest(Ms now) {
   contending_ = false;
   if (lease_ != 0)
@@ -253,8 +301,11 @@
   read_at_ = now + kStoreRetryMs;
 }
 
-void Leadership::win(Ms now, std::uint64_t version, std::uint64_t term) {
+void Leadership::win(Ms now, std::uint64_t version, std::uint64_t term, bool whole) {
   contending_ = false;
+  roster_whole_ = whole;
+  distrusting_ = false;
+  distrust_at_ = 0;
   leading_ = true;
   leader_ = node_;
   term_ = term;
--- a/src/core/leadership.hpp
+++ b/src/core/leadership.hpp
@@ -12,7 +12,8 @@
 class Leadership {
  public:
   // `peers`: the other controllers; all of them, or promises are not used.
-  Leadership(Outbox& out, StoreClient& store, std::string node, std::uint64_t seed, std::vector<std::string> peers);
+  // `roster`: this node's leader stores what it launches before it launches it (core/leader_roster.cpp).
+  Leadership(Outbox& out, StoreClient& store, std::string node, std::uint64_t seed, std::vector<std::string> peers, bool roster);
 
   void start(Ms now);
   void tick(Ms now);
@@ -30,6 +31,15 @@
   bool grant(Ms now, std::uint64_t term);
   std::uint64_t term() const { return term_; }
   std::uint64_t key_version() const { return version_; }  // of `leader`, for conditions
+  // In every term before this one that may matter, what was launched was in the stored roster first; so a task that
+  // is not in it is nowhere. Otherwise an earlier leader kept none (an older version of the program, or its operators
+  // switched it off) and what it launched may not have been found yet.
+  bool roster_whole() const { return roster_whole_; }
+  // Everything that may be running is in the stored roster from now on. To be stored.
+  void make_roster_whole(Ms now, std::function<void(Ms, bool stored)> done);
+  // A part of it can't be read. Nothing of it may be written before that is stored.
+  void distrust_roster(Ms now);
+  bool may_write_roster() const { return !distrusting_; }
   Ms observed_at() const { return observed_at_; }  // when the present leader was first seen
   std::uint64_t revision() const { return revision_; }
   // Gives leadership up on purpose, and leaves it to others for a while.
@@ -47,7 +57,9 @@
                std::uint64_t lease);
   void vacant(Ms now, std::uint64_t revision);
   void contend(Ms now);
-  void win(Ms now, std::uint64_t version, std::uint64_t term);
+  void win(Ms now, std::uint64_t version, std::uint64_t term, bool whole);
+  void take_over(Ms now, std::uint64_t term, std::uint64_t term_version, bool whole);
+  std::string led(std::uint64_t term, bool whole) const;  // value of `led`
   void end_contest(Ms now);
   void touch(Ms now);
   Ms promised_to_us() const;
@@ -59,12 +71,14 @@
   std::string leader_;
   std::uint64_t term_ = 0, version_ = 0, lease_ = 0, revision_ = 0;
   Ms lease_until_ = 0, lease_sent_ = 0;
-  Ms next_touch_ = 0, contend_at_ = 0, read_at_ = 0, observed_at_ = 0, abstain_until_ = 0;
+  Ms next_touch_ = 0, contend_at_ = 0, read_at_ = 0, observed_at_ = 0, abstain_until_ = 0, distrust_at_ = 0;
   std::vector<std::string> peers_;
   std::map<std::string, Ms> promises_;  // to us, until when
   std::map<std::uint64_t, Ms> rounds_;  // when each was asked
   std::uint64_t round_ = 0;
   Ms renewed_at_ = 0, promised_until_ = 0, started_ = 0, store_down_since_ = 0, probed_at_ = 0;
+  const bool roster_;
+  bool roster_whole_ = false, distrusting_ = false;
   bool first_ever_ = false, former_ours_ = false, probing_ = false;
   bool leading_ = false, contending_ = false, watching_ = false, reading_ = false;
 };
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -57,6 +57,20 @@
 // Tasks in one progress chunk: 1 KiB of bits, 2 KiB of hex, within the smallest value limit.
 inline constexpr std::uint32_t kChunkTasks = 8192;
 
+// --- roster -------------------------------------------------------------------------------------
+// Share of the leader's write rate that the roster may use; the rest is for marks, progress and final states.
+inline constexpr double kRosterShare = 0.4;
+// Share of a value's size limit from which a chunk of the roster is divided, and characters from which it is in any
+// case: smaller ones cost more writes, larger ones more bytes for each change.
+inline constexpr double kRosterChunkShare = 0.9;
+inline constexpr std::size_t kRosterChunkMost = 20'000;
+// Characters of the roster in one transaction, of the 64 KiB that it may have.
+inline constexpr std::size_t kRosterBatchMost = 50'000;
+// ms within which a machine that was rented or returned, or a task that is gone, is in the stored roster: a hint only.
+inline constexpr std::int64_t kRosterSoonMs = 2000;
+// Tasks on one machine past which nothing more is placed there: what a chunk with this machine alone can hold.
+inline constexpr std::size_t kMachineTasksMost = 1000;
+
 // --- users --------------------------------------------------------------------------------------
 // s. What a refused user is told to wait.
 inline constexpr int kRetryAfterS = 1;
@@ -64,14 +78,20 @@
 inline constexpr std::size_t kFinalCache = 4000;
 
 // --- workers ------------------------------------------------------------------------------------
-// ms. A report of a machine with free room is answered at the latest after this long, so that a job
-// that arrives meanwhile starts at once. Workers wait 4 s for an answer.
-inline constexpr std::int64_t kHoldReportMs = 900;
+// A report of a machine with free room is answered at the latest after this share of the time between reports, so
+// that a job that arrives meanwhile starts at once. Workers wait 4 s for an answer: ms that it may be at least and most.
+inline constexpr double kHoldShare = 0.45;
+inline constexpr std::int64_t kHoldLeastMs = 900, kHoldMostMs = 2500;
+// ms. The same for a report that came through the store, whose answer takes as long again, and only where launches
+// wait for the roster.
+inline constexpr std::int64_t kHoldRelayedMs = 300;
 // Commands in one answer to a worker: some 110 bytes each at most, so that the answer stays below the 64 KiB
 // of a line even after a report full of tasks that nobody knows.
 inline constexpr std::size_t kCommandsMost = 500;
-// ms. A machine that has said nothing for this long gets no new assignments.
-inline constexpr std::int64_t kSilentMs = 4000;
+// A machine that has said nothing for so many times as long as its reports are apart, and some, gets no new
+// assignments: a report may be a quarter late. ms: at least, and the spare time.
+inline constexpr double kSilentReports = 1.25;
+inline constexpr std::int64_t kSilentLeastMs = 4000, kSilentSpareMs = 1500;
 // Bits of an attempt number below the term.
 inline constexpr int kAttemptBits = 32;
 // ms. Repeating a direct stop to a worker that has not acted on it.
@@ -206,6 +226,8 @@
 inline constexpr std::uint64_t kFoldSurge = 4;
 // ms between two controllers' lines about one event that delays explain; more is a clock that is wrong.
 inline constexpr std::int64_t kStoryClockMs = 250;
+// ms between the debug lines that tell the fleet's state.
+inline constexpr std::int64_t kStateMs = 5000;
 // ms for which the text of GET /metrics is given again, and connections that may ask at once: whoever scrapes
 // too often must not take the processor from answers.
 inline constexpr std::int64_t kScrapeMs = 1000;
--- a/src/settings/expression.cpp
+++ b/src/settings/expression.cpp
@@ -206,6 +206,7 @@
     {"charge_unit", Type::seconds, 5, 3600, kChargeUnitS},
     {"replay_share", Type::number, 0.01, 0.5, kReplayShare},
     {"admit", Type::boolean, 0, 1, 1},
+    {"roster", Type::boolean, 0, 1, 1},
 };
 const std::vector<InputName> kState = {{"queue_jobs", Type::number}, {"queue_tasks", Type::number}, {"machines", Type::number}};
 const std::vector<InputName> kParts = {{"ODA", Type::boolean}, {"ODB", Type::boolean},  {"ODE", Type::boolean},
@@ -327,6 +328,10 @@
       out.problems.push_back({number, equals + 2, std::string("a ") + name(e.type()), std::string("a ") + name(setting->type)});
       continue;
     }
+    if (k == "roster" && !e.constant()) {
+      out.problems.push_back({number, equals + 2, "an expression with inputs", "true or false: it is asked once, at the start"});
+      continue;
+    }
     if (e.constant()) {
       const double v = e.evaluate({});
       if (v < setting->least || v > setting->most) {
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -45,6 +45,8 @@
       {"hitchfront_placement_work_total", "Machines and tasks that placement looked at"},
       {"hitchfront_replay_steps_total", "Steps of replayed policies"},
       {"hitchfront_selections_total", "Selections that came to an end"},
+      {"hitchfront_roster_writes_total", "Chunks of the roster written"},
+      {"hitchfront_roster_bytes_total", "Characters of those chunks"},
       {"hitchfront_log_lines_total", "Lines written to the log"},
   }};
   return table;
@@ -70,6 +72,7 @@
       {"hitchfront_store_seconds", "A store call, waiting for the budget included", "", {}, {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}},
       {"hitchfront_doubt_seconds", "From taking over until nothing was in doubt", "", {}, {1, 2, 3, 5, 8, 13, 20, 30, 60}},
       {"hitchfront_confirm_seconds", "From taking over until a machine was confirmed", "", {}, {0.5, 1, 2, 3, 5, 8, 13, 20, 30}},
+      {"hitchfront_roster_seconds", "From a task's assignment until the roster that names it was stored", "", {}, {0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}},
       {"hitchfront_replayed_policies", "Policies replayed in a selection", "", {}, {1, 2, 5, 10, 20, 30, 45, 60}},
   }};
   return table;
--- a/src/telemetry/figures.hpp
+++ b/src/telemetry/figures.hpp
@@ -29,6 +29,8 @@
   placement_work,
   replay_steps,
   selections,
+  roster_writes,
+  roster_bytes,
   log_lines,
 };
 inline constexpr std::size_t kCounts = static_cast<std::size_t>(Count::log_lines) + 1;
@@ -36,7 +38,7 @@
 enum class Gauge : std::uint8_t { leading, term, jobs, tasks, machines, doubt, held };
 inline constexpr std::size_t kGauges = static_cast<std::size_t>(Gauge::held) + 1;
 
-enum class Spread : std::uint8_t { start_s, store_s, doubt_s, confirm_s, replayed };
+enum class Spread : std::uint8_t { start_s, store_s, doubt_s, confirm_s, roster_s, replayed };
 inline constexpr std::size_t kSpreads = static_cast<std::size_t>(Spread::replayed) + 1;
 
 // Labels, as places in the table's lists.
--- a/src/wire/batch.cpp
+++ b/src/wire/batch.cpp
@@ -3,42 +3,12 @@
 #include <cmath>
 #include <map>
 
+#include "wire/base64.hpp"
 #include "wire/varint.hpp"
 
 namespace hitchfront::wire {
 namespace {
 
-constexpr std::string_view kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-
-std::string to_base64(std::string_view bytes) {
-  std::string out;
-  out.reserve((bytes.size() + 2) / 3 * 4);
-  std::uint32_t bits = 0;
-  int have = 0;
-  for (const char c : bytes) {
-    bits = bits << 8 | static_cast<unsigned char>(c);
-    for (have += 8; have >= 6; have -= 6) out.push_back(kDigits[bits >> (have - 6) & 63]);
-  }
-  if (have > 0) out.push_back(kDigits[bits << (6 - have) & 63]);
-  return out;
-}
-
-std::optional<std::string> from_base64(std::string_view text) {
-  std::string out;
-  std::uint32_t bits = 0;
-  int have = 0;
-  for (const char c : text) {
-    const auto digit = kDigits.find(c);
-    if (digit == std::string_view::npos) return std::nullopt;
-    bits = bits << 6 | static_cast<std::uint32_t>(digit);
-    have += 6;
-    if (have < 8) continue;
-    have -= 8;
-    out.push_back(static_cast<char>(bits >> have & 255));
-  }
-  return out;
-}
-
 // A name is written in full the first time and by its number from then on.
 class NameWriter {
  public:
--- a/tests/telemetry_test.cpp
+++ b/tests/telemetry_test.cpp
@@ -161,8 +161,8 @@
   std::string a, b;
   a += log_line(1000, "a", line(Event::leader_elected, 1));
   b += log_line(1004 + ahead, "b", line(Event::leader_followed, 1, "a"));
-  a += log_line(1200, "a", line(Event::takeover_loaded, 1, 0, 0));
-  a += log_line(27'700, "a", line(Event::takeover_settled, 1, 26.7, 12));
+  a += log_line(1200, "a", line(Event::takeover_loaded, 1, 0, "whole", 0, 0, 0));
+  a += log_line(27'700, "a", line(Event::takeover_settled, 1, 26.7, 0, 12));
   b += log_line(60'000 + ahead, "b", line(Event::leader_elected, 2));
   a += log_line(60'003, "a", line(Event::leader_followed, 2, "b"));
   b += log_line(61'000 + ahead, "b", line(Event::store_down));
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -234,7 +234,10 @@
       if (job.mistaken) ++job.failures;
       return job.mistaken || faulty_.contains(place.name);
     };
-    hooks.started = [this, place](const std::string& id, std::uint32_t t) { judge.start(now_, place, id, t); };
+    hooks.started = [this, place](const std::string& id, std::uint32_t t) {
+      ++launches_by_second[now_ / 1000];
+      judge.start(now_, place, id, t);
+    };
     hooks.left = [this, place](const std::string& id, std::uint32_t t) { judge.leave(place, id, t); };
     hooks.lease_over = [this] { ++leases_lost; };
     hooks.done = [this](const std::string& id, std::uint32_t t) { judge.done(id, t); };
@@ -296,7 +299,9 @@
   for (const auto& other : nodes_)
     if (other->name != n.name) p.peers.push_back({other->name, s_.zones[static_cast<std::size_t>(other->index) % s_.zones.size()], other->name});
   ++n.life;
-  n.core = std::make_unique<core::Controller>(p, random_());
+  settings::Operator op;
+  if (s_.no_roster.contains(n.index) && (s_.roster_from == 0 || now_ < s_.roster_from)) op = settings::parse_operator("roster = false").settings;
+  n.core = std::make_unique<core::Controller>(p, random_(), op);
   n.core->start(steady(n), 1'700'000'000'000 + now_);
   flush(n);
 }
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -85,6 +85,8 @@
   double guest_run_s = 0;  // run time of their tasks; 0: like the others'
   bool plain_low = false;  // all jobs of low priority, with tasks that save, anywhere
   double mistaken = 0;     // share of jobs whose tasks fail on every machine, until their users cancel them
+  std::set<int> no_roster;       // nodes whose leaders keep none, like an older version
+  std::int64_t roster_from = 0;  // and that do if they start from then on; 0: never
   // Changes a node's answers on their way out: a deliberately broken core.
   std::function<void(std::int64_t now, int node, core::Effects&)> saboteur;
 };
@@ -108,6 +110,7 @@
   // What the leader answers at once to a request of this moment; status 0: it doesn't yet.
   core::HttpReply ask_leader(core::Method method, const std::string& path, const std::string& body);
   std::size_t machines_most = 0;
+  std::map<std::int64_t, std::size_t> launches_by_second;  // tasks that started
   std::set<std::string> faulty() const { return faulty_; }
 
  private:
