--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -172,6 +172,7 @@
   // machines
   void cloud_round(Ms now);
   void rent(Ms now);
+  std::uint32_t rent_calls() const;
   void send_rental(Ms now, Rental& r);
   void consolidate(Ms now);
   void give_back(Ms now);
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -126,12 +126,21 @@
   const auto wanted = portfolio::rents_now(s, policy_, params_);
   for (std::size_t i = 0; i < wanted.size(); ++i) {
     if (wanted[i] == 0) continue;
-    rentals_.push_back({"r-" + std::to_string(term_) + "-" + std::to_string(next_rental_++), i, wanted[i],
-                        false, now});
-    send_rental(now, rentals_.back());
+    for (auto left = wanted[i]; left > 0; left -= std::min(left, kRentMost)) {
+      rentals_.push_back({"r-" + std::to_string(term_) + "-" + std::to_string(next_rental_++), i, std::min(left, kRentMost),
+                          false, now});
+      send_rental(now, rentals_.back());
+    }
   }
 }
 
+// Rental calls that a round may make, so that returning and listing still have theirs. With one call for each offer a
+// fleet of a thousand took half a minute to rent, and the dear offers were asked before the cheap ones had run out.
+std::uint32_t Leader::rent_calls() const {
+  const double calls = platform_.cloud_rps * kStoreShare * static_cast<double>(kCloudRoundMs) / 1000 - kOtherCloudCalls;
+  return static_cast<std::uint32_t>(std::max(1.0, calls));
+}
+
 void Leader::send_rental(Ms now, Rental& r) {
   if (!can_call_cloud(now)) return;
   const auto& o = offers_[r.offer];
--- a/src/core/leader_selection.cpp
+++ b/src/core/leader_selection.cpp
@@ -75,7 +75,7 @@
   }
   s.offers = offers_;
   for (std::size_t i = 0; i < offers_.size(); ++i)
-    s.offers[i].room = now < offer_blocked_[i] ? 0 : 50;
+    s.offers[i].room = now < offer_blocked_[i] ? 0 : kRentMost * rent_calls();
   return s;
 }
 
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -153,6 +153,9 @@
 inline constexpr std::int64_t kCloudTimeoutMs = 4000;
 // ms between rounds of cloud calls: each round rents, returns and lists in a few calls.
 inline constexpr std::int64_t kCloudRoundMs = 1000;
+// Machines in one rental (PROTOCOL), and calls of a round that are not rentals: one returns, one and a half list.
+inline constexpr std::uint32_t kRentMost = 50;
+inline constexpr double kOtherCloudCalls = 2.5;
 // ms between machine lists; the list lags by ten seconds anyway.
 inline constexpr std::int64_t kListMs = 5000;
 // ms between reads of machine types (prices move).
