What has been silent for long is replaced before its lease is over

Need: after a wave the leader rented replacements only when the leases of the silent machines were over, 26.5 s later at fleet size, and a boot came on top of it.

Change: a machine silent for 3 s more than its report can be late counts neither as room nor as a machine for renting and replay, and its tasks count as waiting; nothing of it starts elsewhere before the proofs. While more than 2% of the fleet is missing nothing is moved for tidiness.

--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -129,6 +129,7 @@
   void stop_direct(Ms now, Machine& m);
   void lease_check(Ms now);
   bool usable(Ms now, const Machine& m) const;
+  bool missed(Ms now, const Machine& m) const;  // silent for so long that it is most likely gone
 
   // accounting
   void occupy(Machine& m, JobState& job, std::uint32_t task, Placement p);
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -202,6 +202,9 @@
 void Leader::consolidate(Ms now) {
   for (const auto& [id, job] : jobs_)
     if (job->active() && job->waiting > 0 && !blame_.suspect(job->index)) return;
+  // What is missing will wait too, when its leases are over: room is worth more than tidiness.
+  const auto gone = std::count_if(fleet_.begin(), fleet_.end(), [&](const Machine* m) { return missed(now, *m); });
+  if (static_cast<double>(gone) > static_cast<double>(fleet_.size()) * kMissedShare) return;
   struct Stay {
     Machine* machine;
     Size room;
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -15,6 +15,10 @@
          now - m.last_report < silent_ms(platform_);
 }
 
+bool Leader::missed(Ms now, const Machine& m) const {
+  return m.up && !m.lost && !m.failed && !m.releasing && m.taken_at == 0 && now - m.last_report > silent_ms(platform_) + kMissedMs;
+}
+
 void Leader::report(Ms now, std::uint64_t request, wire::Report report, Way way) {
   auto* r = &report;
   if (!may_act(now)) return out_.reply(request, 503, wire::error_body("no leader"));
--- a/src/core/leader_roster.cpp
+++ b/src/core/leader_roster.cpp
@@ -129,7 +129,7 @@
       if (w.value.empty())
         txn.drop(chunk_key(w.chunk));
       else
-        txn.put(chunk_key(w.chunk), '"' + w.value + '"');
+        txn.put_text(chunk_key(w.chunk), w.value);
       out_.figures().add(telemetry::Count::roster_writes);
       out_.figures().add(telemetry::Count::roster_bytes, static_cast<double>(w.value.size()));
     }
--- a/src/core/leader_selection.cpp
+++ b/src/core/leader_selection.cpp
@@ -14,10 +14,25 @@
   portfolio::Snapshot s;
   for (const auto& t : teams_)
     s.teams.push_back({t.cpus, t.cpus_max, t.gpus_max, t.used_cpus, t.used_gpus});
+  // What has been silent for long is most likely gone, and its tasks will be waiting once its lease is over. What
+  // replaces it takes a boot: asked for now, it is up by then. Until then nothing of it starts anywhere.
+  std::unordered_map<std::uint64_t, std::uint32_t> missing;
+  for (const auto* m : fleet_) {
+    if (!missed(now, *m)) continue;
+    for (const auto& [key, p] : m->tasks) {
+      if (!p.job->active() || p.job->team < 0 || p.job->places[p.task] > 1) continue;
+      ++missing[key.first];
+      auto& team = s.teams[static_cast<std::size_t>(p.job->team)];
+      team.used_cpus -= p.job->spec.cpus;
+      team.used_gpus -= p.job->spec.gpus;
+    }
+  }
   for (const auto& [id, job] : jobs_) {
-    if (!job->active() || job->waiting == 0 || job->team < 0 || job->types == 0) continue;
+    const auto lost = missing.find(job->index);
+    const auto tasks = job->waiting + (lost == missing.end() ? 0 : lost->second);
+    if (!job->active() || tasks == 0 || job->team < 0 || job->types == 0) continue;
     portfolio::SimJob j;
-    j.tasks = job->waiting;
+    j.tasks = tasks;
     if (blame_.suspect(job->index)) {
       // One try at a time, on whatever is there; only an empty fleet is worth a rental.
       if (!fleet_.empty() || now < job->not_before) continue;
@@ -42,7 +57,7 @@
     return a.wait_s != b.wait_s ? a.wait_s > b.wait_s : a.image < b.image;
   });
   for (const auto* m : fleet_) {
-    if (m->type < 0 || m->failed || m->releasing || m->lost) continue;
+    if (m->type < 0 || m->failed || m->releasing || m->lost || missed(now, *m)) continue;
     const auto& type = types_[static_cast<std::size_t>(m->type)];
     portfolio::SimMachine x;
     x.type = m->type;
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -85,6 +85,10 @@
 // ms. The same for a report that came through the store, whose answer takes as long again, and only where launches
 // wait for the roster.
 inline constexpr std::int64_t kHoldRelayedMs = 300;
+// ms beyond that after which a machine's replacement is rented: a worker that changes controllers has found the next one.
+inline constexpr std::int64_t kMissedMs = 3000;
+// Share of the fleet that may be missing while tasks are moved for tidiness.
+inline constexpr double kMissedShare = 0.02;
 // Commands in one answer to a worker: some 110 bytes each at most, so that the answer stays below the 64 KiB
 // of a line even after a report full of tasks that nobody knows.
 inline constexpr std::size_t kCommandsMost = 500;
--- a/src/wire/state.cpp
+++ b/src/wire/state.cpp
@@ -37,6 +37,10 @@
   then_.push_back(std::move(o));
   return *this;
 }
+Txn& Txn::put_text(std::string key, std::string text) {
+  then_.push_back({{"Set", std::move(key)}, {"V", std::move(text)}});
+  return *this;
+}
 Txn& Txn::drop(std::string key) {
   then_.push_back({{"Drop", std::move(key)}});
   return *this;
--- a/src/wire/state.hpp
+++ b/src/wire/state.hpp
@@ -35,6 +35,7 @@
  public:
   Txn& if_version(std::string key, std::uint64_t version);
   Txn& put(std::string key, std::string_view value, std::uint64_t lease = 0);
+  Txn& put_text(std::string key, std::string text);  // a JSON string, given as the text that it holds
   Txn& drop(std::string key);
   std::string body() const;
   int writes() const { return static_cast<int>(then_.size()); }
