Tests at fleet size: 1,300 machines, five controllers, leases of 26.5 s

Need: the largest fleet that the tests played had 440 machines and leases of 12 s.

Change: all crash, a rolling restart, two zones apart with a crash, a hundred hung machines with a crash, each at some 1,300 machines and a few seconds long, watched by the plain model; work for a report counted at 325, 650 and 1,300 machines.

--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -362,6 +362,67 @@
   EXPECT_LT(work[1], 450) << "a report costs less than one look at the fleet";
 }
 
+// ---- at fleet size --------------------------------------------------------------------------------
+
+Scenario fleet_size(std::uint64_t seed, int scale = 65) {
+  auto s = full_size(seed);
+  s.scale = scale;
+  s.report_ms = 5000;
+  s.lease_s = 26.5;
+  s.write_rps = 200;
+  s.jobs_per_s = 0.012 * scale;
+  s.tasks_most = static_cast<std::uint32_t>(2000 * scale / 65);
+  s.run_ms = 50'000;
+  s.settle_ms = 8000;  // the rules; that every job ends is shown at the smaller sizes
+  return s;
+}
+
+struct FleetTrouble {
+  const char* name;
+  std::vector<Scenario::Cut> cuts;
+  std::vector<Scenario::Cut> zone_cuts;
+  std::vector<Scenario::At> events;
+};
+void PrintTo(const FleetTrouble& t, std::ostream* out) { *out << t.name; }
+const FleetTrouble kFleetTroubles[] = {
+    {"all_crash", {}, {}, {{30'000, "crash all"}}},
+    {"rolling_restart", {}, {}, {{20'000, "crash node-0"}, {26'000, "crash node-1"}, {32'000, "crash node-2"}, {38'000, "crash node-3"}, {44'000, "crash node-4"}}},
+    {"a_zone_cut_and_a_crash", {}, {{25'000, 45'000, "east", "west", true}}, {{28'000, "crash leader"}}},
+    {"a_hundred_hang", {}, {}, {{28'000, "hang 100"}, {36'000, "crash leader"}}},
+};
+class FleetSize : public ::testing::TestWithParam<FleetTrouble> {};
+
+TEST_P(FleetSize, KeepsTheRules) {
+  auto s = fleet_size(3);
+  s.cuts = GetParam().cuts;
+  s.zone_cuts = GetParam().zone_cuts;
+  s.events = GetParam().events;
+  World w(s);
+  w.run();
+  EXPECT_TRUE(w.judge.broken.empty()) << report(w);
+  EXPECT_GT(w.machines_most, 1000U);
+  EXPECT_GT(w.judge.started, 3000U);
+}
+INSTANTIATE_TEST_SUITE_P(All, FleetSize, ::testing::ValuesIn(kFleetTroubles), [](const auto& p) { return p.param.name; });
+
+// Guards the cost of a report, and with it of a placement, against the size of the fleet: machines and tasks that
+// placement looked at, at 325, 650 and 1,300 machines.
+TEST(FleetSize, WorkForAReportGrowsNoFasterThanTheFleet) {
+  double work[3] = {};
+  const int scales[] = {16, 32, 65};
+  for (int i = 0; i < 3; ++i) {
+    World w(fleet_size(4, scales[i]));
+    w.run();
+    ASSERT_NE(w.leader(), nullptr);
+    const auto [looked, reports] = w.leader()->cost();
+    ASSERT_GT(reports, 300U);
+    work[i] = static_cast<double>(looked) / static_cast<double>(reports);
+  }
+  EXPECT_LT(work[1], 2.6 * work[0]);
+  EXPECT_LT(work[2], 2.6 * work[1]);
+  EXPECT_LT(work[2], 1300) << "a report costs less than one look at the fleet";
+}
+
 // Guards against an answer beyond what a worker can read.
 TEST(FullSize, AReportOfAThousandUnknownTasksGetsABoundedAnswer) {
   Scenario s;
