--- a/src/telemetry/fold.cpp
+++ b/src/telemetry/fold.cpp
@@ -24,10 +24,9 @@
     if (g.period == 0 || now < g.due) continue;
     if (g.count > 0) {
       out.push_back(summary(now, s, g));
-    } else if (g.period <= kFoldLeastMs) {
+    } else if (now - std::max(g.told, g.since) >= kFoldMostMs) {
       g = {};
-    } else {  // quiet for a whole period
-      g.period /= 2;
+    } else {  // quiet for a whole period; what comes in bursts keeps its rhythm
       g.due = now + g.period;
     }
   }
--- a/src/telemetry/fold.hpp
+++ b/src/telemetry/fold.hpp
@@ -19,7 +19,7 @@
 
  private:
   // A kind's first summary comes a second after its first line, the next after twice as long, and so on up to a
-  // minute; a surge is told at once, and after each period of quiet the next is half as long.
+  // minute; a surge is told at once, and a kind that has been quiet for a minute begins anew.
   struct Group {
     std::uint64_t count = 0, last_count = 0;
     Ms since = 0, due = 0, period = 0, told = 0;
