Turns of the loop are longer: fewer looks for urgent work

Need: a look for urgent events after every eight callbacks cost processor time that a small share does not have.

Change: after 32 callbacks or 20 ms.

--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -252,7 +252,7 @@
 // Priorities in the loop: the clock and the store, by which the lead is kept, then everything else.
 inline constexpr int kUrgentPriority = 0, kOrdinaryPriority = 1, kPriorities = 2;
 // Callbacks of ordinary priority, and ms of them, between two looks for urgent ones.
-inline constexpr int kTurnCallbacks = 8, kTurnMs = 5;
+inline constexpr int kTurnCallbacks = 32, kTurnMs = 20;
 // Parallel connections to the store and to the cloud; more calls wait their turn.
 inline constexpr int kStoreConnections = 12, kCloudConnections = 2;
 
