--- a/tests/roster_test.cpp
+++ b/tests/roster_test.cpp
@@ -324,12 +324,6 @@
   }
   return out;
 }
-std::string first_breaks(const World& w) {
-  std::string out;
-  for (std::size_t i = 0; i < std::min<std::size_t>(w.judge.what.size(), 5); ++i) out += w.judge.what[i] + "\n";
-  return out;
-}
-
 // A takeover in which every machine speaks is over when they have, not a worker's lease later.
 TEST(RosterWorld, WithoutSilentMachinesATakeoverIsOverInSeconds) {
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
@@ -340,7 +334,7 @@
     s.events = {{60'000, "crash leader"}, {90'000, "crash all"}};
     World w(s);
     w.run();
-    EXPECT_TRUE(w.judge.broken.empty()) << first_breaks(w);
+    EXPECT_TRUE(w.judge.broken.empty()) << report(w);
     const auto t = takeovers(w);
     ASSERT_GE(t.size(), 3U);
     for (const auto& x : t) {
@@ -361,7 +355,7 @@
   s.events = {{60'000, "crash leader"}};
   World w(s);
   w.run();
-  EXPECT_TRUE(w.judge.broken.empty()) << first_breaks(w);
+  EXPECT_TRUE(w.judge.broken.empty()) << report(w);
   EXPECT_TRUE(w.unfinished().empty());
   const auto t = takeovers(w);
   ASSERT_GE(t.size(), 2U);
@@ -385,7 +379,7 @@
     s.events.push_back({110'000, "crash leader"});
     World w(s);
     w.run();
-    EXPECT_TRUE(w.judge.broken.empty()) << "seed " << seed << "\n" << first_breaks(w);
+    EXPECT_TRUE(w.judge.broken.empty()) << "seed " << seed << "\n" << report(w);
     EXPECT_TRUE(w.unfinished().empty()) << "seed " << seed;
     for (const auto& t : takeovers(w)) seen.insert(t.roster);
   }
@@ -404,7 +398,7 @@
   s.run_ms = 120'000;
   World w(s);
   w.run();
-  EXPECT_TRUE(w.judge.broken.empty()) << first_breaks(w);
+  EXPECT_TRUE(w.judge.broken.empty()) << report(w);
   const auto t = takeovers(w);
   ASSERT_GE(t.size(), 3U);
   EXPECT_EQ(t.front().roster, "none");
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -643,4 +643,10 @@
   return out;
 }
 
+std::string report(const World& w) {
+  std::string out;
+  for (std::size_t i = 0; i < std::min<std::size_t>(w.judge.what.size(), 5); ++i) out += w.judge.what[i] + "\n";
+  return out;
+}
+
 }  // namespace hitchfront::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -171,6 +171,9 @@
   int next_id_ = 1;
 };
 
+// The first few rules that the world's judge saw broken, a line each.
+std::string report(const World& w);
+
 settings::Platform test_platform(int nodes, const std::vector<std::string>& zones);
 
 }  // namespace hitchfront::testing
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -8,12 +8,6 @@
 namespace hitchfront::testing {
 namespace {
 
-std::string report(const World& w) {
-  std::string out;
-  for (std::size_t i = 0; i < std::min<std::size_t>(w.judge.what.size(), 5); ++i) out += w.judge.what[i] + "\n";
-  return out;
-}
-
 void keeps_rules(const Scenario& s) {
   World w(s);
   w.run();
