--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,28 +1,37 @@
 // The command line.
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
-
 #include <CLI/CLI.hpp>
 #include <cstdio>
-#include <cstdlib>
+#include <fstream>
+#include <iostream>
 #include <string>
 
+#include "net/log.hpp"
 #include "net/runtime.hpp"
 #include "settings/platform.hpp"
+#include "telemetry/story.hpp"
 
 namespace {
 
 constexpr int kBadSettings = 2;
 
-void set_up_log(const std::string& node) {
-  auto log = spdlog::stderr_logger_st("hitchfront");
-  log->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " + node + ": %v");
-  const char* wanted = std::getenv("LOG_LEVEL");
-  const std::string level = wanted != nullptr ? wanted : "info";
-  log->set_level(level == "error"   ? spdlog::level::err
-                 : level == "debug" ? spdlog::level::debug
-                                    : spdlog::level::info);
-  spdlog::set_default_logger(std::move(log));
+// Tells the story of the logs in the files (- is standard input). 0, or 2 where a file can't be read or holds
+// nothing of ours.
+int explain(const std::vector<std::string>& files) {
+  hitchfront::telemetry::Story story;
+  for (const auto& file : files) {
+    if (file == "-") {
+      story.read(std::cin);
+      continue;
+    }
+    std::ifstream in(file);
+    if (!in) {
+      std::fprintf(stderr, "%s: can't be read\n", file.c_str());
+      return kBadSettings;
+    }
+    story.read(in);
+  }
+  std::fputs(story.tell().c_str(), stdout);
+  return story.records() > 0 ? 0 : kBadSettings;
 }
 
 // Prints every problem; true if there is none.
@@ -46,8 +55,21 @@
   auto* check = app.add_subcommand("check", "Check the settings without serving");
   check->add_option("--config", path, "Settings file of the platform (JSON)");
   check->add_option("--operator", operator_path, operator_help);
+  std::string format = "text";
+  for (auto* a : {&app, serve})
+    a->add_option("--log-format", format, "Form of the log: text, or json (an object a line)")->check(CLI::IsMember({"text", "json"}));
+  auto* log = app.add_subcommand("log", "Reads logs");
+  std::vector<std::string> files;
+  auto* told = log->add_subcommand("explain", "Tells terms, takeovers, outages and losses from controllers' JSON logs");
+  told->add_option("FILE", files, "Logs written with --log-format json; - is standard input")->required();
+  log->require_subcommand(1);
   app.require_subcommand(0, 1);
-  CLI11_PARSE(app, argc, argv);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadSettings;
+  }
+  if (told->parsed()) return explain(files);
 
   if (path.empty() && !(check->parsed() && !operator_path.empty())) {
     std::fputs("hitchfront: --config FILE is needed; see --help\n", stderr);
@@ -66,6 +88,7 @@
       if (!file.empty()) std::printf("%s: in order\n", file.c_str());
     return 0;
   }
-  set_up_log(loaded.platform.node);
+  hitchfront::net::set_up_log(loaded.platform.node,
+                              format == "json" ? hitchfront::net::LogFormat::json : hitchfront::net::LogFormat::text);
   return hitchfront::net::serve(loaded.platform, own.settings);
 }
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -55,7 +55,7 @@
 
 void Controller::start(Ms now, std::int64_t wall_ms) {
   wall_minus_steady_ = wall_ms - now;
-  out_.log(Level::info, platform_.node + " starts in " + platform_.zone);
+  out_.log(Event::node_started, platform_.zone, HITCHFRONT_VERSION);
   leadership_.start(now);
   fetch_types(now);
 }
@@ -227,6 +227,19 @@
 }
 
 // Answers to relayed reports leave by the way they came.
+std::string Controller::page(Ms now, std::string_view path) {
+  if (path != "/metrics") return {};
+  if (exposition_.empty() || now - exposed_at_ >= kScrapeMs) {
+    exposed_at_ = now;
+    auto& f = out_.figures();
+    f.set(telemetry::Gauge::leading, leading() ? 1 : 0);
+    f.set(telemetry::Gauge::term, static_cast<double>(leadership_.term()));
+    if (leader_) leader_->gauge(now);
+    exposition_ = f.exposition();
+  }
+  return exposition_;
+}
+
 Effects Controller::take() {
   send_asked();
   auto e = out_.take();
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -29,6 +29,9 @@
   std::pair<std::uint64_t, std::uint64_t> cost() const;
 
   Effects take();
+  // GET on the peers' side: /metrics. Empty: no such page.
+  std::string page(Ms now, std::string_view path);
+  void logged(std::size_t lines) { out_.figures().add(telemetry::Count::log_lines, static_cast<double>(lines)); }
   bool leading() const { return leadership_.leading(); }
 
  private:
@@ -74,6 +77,8 @@
   Asked asking_;  // by this input
   std::unordered_map<std::uint64_t, Asked> asked_;
   std::uint64_t next_ask_ = 1;
+  std::string exposition_;
+  Ms exposed_at_ = 0;
 };
 
 }  // namespace hitchfront::core
--- a/src/core/effects.hpp
+++ b/src/core/effects.hpp
@@ -9,6 +9,9 @@
 #include <utility>
 #include <vector>
 
+#include "telemetry/events.hpp"
+#include "telemetry/figures.hpp"
+
 namespace hitchfront::core {
 
 using Ms = std::int64_t;  // steady time in milliseconds
@@ -34,17 +37,13 @@
 struct PeerSend {
   std::string node, bytes;
 };
-enum class Level { error, info, debug };
-struct LogLine {
-  Level level = Level::info;
-  std::string text;
-};
+using telemetry::Event;
 
 struct Effects {
   std::vector<HttpCall> calls;
   std::vector<HttpReply> replies;
   std::vector<PeerSend> peers;
-  std::vector<LogLine> logs;
+  std::vector<telemetry::Line> logs;
   bool empty() const { return calls.empty() && replies.empty() && peers.empty() && logs.empty(); }
 };
 
@@ -73,13 +72,19 @@
   void peer(std::string node, std::string bytes) {
     effects_.peers.push_back({std::move(node), std::move(bytes)});
   }
-  void log(Level level, std::string text) { effects_.logs.push_back({level, std::move(text)}); }
+  // Values in the order of the event's fields in the table of telemetry/events.cpp.
+  template <class... T>
+  void log(Event event, T&&... values) {
+    effects_.logs.push_back(telemetry::line(event, std::forward<T>(values)...));
+  }
+  telemetry::Figures& figures() { return figures_; }
   Effects take() { return std::exchange(effects_, {}); }
 
  private:
   Effects effects_;
   std::unordered_map<std::uint64_t, Done> waiting_;
   std::uint64_t last_id_ = 0;
+  telemetry::Figures figures_;
 };
 
 }  // namespace hitchfront::core
--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -7,6 +7,7 @@
 namespace hitchfront::core {
 using namespace settings;
 using Rank = StoreClient::Rank;
+using telemetry::Refusal;
 namespace {
 constexpr int kCancelTries = 8;  // the leader writes a job's record a few times a second at most
 
@@ -16,8 +17,19 @@
 Front::Front(Outbox& out, StoreClient& store, const Platform& platform, AskCounts ask)
     : out_(out), store_(store), platform_(platform), ask_(std::move(ask)), view_(store) {}
 
-void Front::refuse(std::uint64_t request, const char* why, int status) {
-  out_.reply(request, status, wire::error_body(why), kRetryAfterS);
+void Front::refuse(std::uint64_t request, Refusal why, int status) {
+  const char* text = why == Refusal::busy    ? "busy"
+                     : why == Refusal::store ? "the store can't be asked"
+                     : why == Refusal::types ? "machine types not known yet"
+                                             : "try again";
+  out_.log(Event::request_refused, status, text);
+  out_.figures().add(telemetry::Count::refusals, why);
+  out_.reply(request, status, wire::error_body(text), kRetryAfterS);
+}
+
+void Front::deny(std::uint64_t request, int status, const wire::BadField& bad) {
+  out_.figures().add(telemetry::Count::refusals, status == 422 ? Refusal::never : Refusal::malformed);
+  out_.reply(request, status, wire::error_body(bad.reason, bad.field));
 }
 
 void Front::remember(const std::string& id, wire::OverRecord record) {
@@ -96,8 +108,8 @@
 void Front::submit(Ms now, std::int64_t wall_ms, std::uint64_t request, std::string_view body) {
   auto parsed = wire::parse_job(body);
   if (!parsed.job && parsed.known_id.empty())
-    return out_.reply(request, 400, wire::error_body(parsed.bad->reason, parsed.bad->field));
-  if (store_.crowded(Rank::user)) return refuse(request, "busy", 429);
+    return deny(request, 400, *parsed.bad);
+  if (store_.crowded(Rank::user)) return refuse(request, Refusal::busy, 429);
   const std::string id = parsed.known_id;
   std::optional<wire::BadField> never;
   if (parsed.job && knows_types()) never = can_never_run(*parsed.job);
@@ -108,10 +120,10 @@
     const auto bad = parsed.job ? never : parsed.bad;
     const int status = parsed.job ? 422 : 400;
     look_up(now, id, [this, request, id, bad, status](Ms, const Found& f) {
-      if (f.failed) return refuse(request, "the store can't be asked");
+      if (f.failed) return refuse(request, Refusal::store);
       if (f.live || f.over) return answer_known(request, id, f);
-      if (!bad) return refuse(request, "machine types not known yet");
-      out_.reply(request, status, wire::error_body(bad->reason, bad->field));
+      if (!bad) return refuse(request, Refusal::types);
+      deny(request, status, *bad);
     });
     return;
   }
@@ -124,17 +136,17 @@
   wire::LiveRecord record{std::move(*parsed.job), wall_ms, false, 0};
   const std::string value = wire::encode(record);
   if (value.size() > platform_.state_value_kb * 1024)
-    return out_.reply(request, 400, wire::error_body("description too large"));
+    return deny(request, 400, {"", "description too large"});
   wire::Txn txn;
   txn.if_version(live_key(id), 0).if_version(over_key(id), 0).put(live_key(id), value);
   store_.commit(now, Rank::user, txn, [this, request, id](Ms t, int status, std::string_view) {
     if (status == 200) return out_.reply(request, 201, wire::job_status(id, wire::kPending));
     // Without an answer the job may have been stored or may be later: the user's retry, under the
     // same id, finds out.
-    if (status != 409) return refuse(request, "the store can't be asked");
+    if (status != 409) return refuse(request, Refusal::store);
     look_up(t, id, [this, request, id](Ms, const Found& f) {
       if (f.live || f.over) return answer_known(request, id, f);
-      refuse(request, "try again");
+      refuse(request, Refusal::again);
     });
   });
 }
@@ -143,9 +155,9 @@
 void Front::status(Ms now, std::uint64_t request, const std::string& id) {
   if (!wire::valid_job_id(id)) return out_.reply(request, 404, wire::error_body("no such job"));
   if (const auto it = final_.find(id); it != final_.end()) return tell_final(request, id, it->second);
-  if (view_.waiting() >= kPollsMost || store_.crowded(Rank::low)) return refuse(request, "busy", 429);
+  if (view_.waiting() >= kPollsMost || store_.crowded(Rank::low)) return refuse(request, Refusal::busy, 429);
   view_.ask(now, id, [this, request, id](Ms t, bool known, const LiveView::Job* job) {
-    if (!known) return refuse(request, "the store can't be asked");
+    if (!known) return refuse(request, Refusal::store);
     if (job == nullptr) return final_status(t, request, id);
     if (job->withdrawn) {
       remember(id, {true, 0});
@@ -171,7 +183,7 @@
     if (status == 404) return out_.reply(request, 404, wire::error_body("no such job"));
     const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
     const auto record = item ? wire::decode_over(item->value) : std::nullopt;
-    if (!record) return refuse(request, "the store can't be asked");
+    if (!record) return refuse(request, Refusal::store);
     remember(id, *record);
     tell_final(request, id, *record);
   });
@@ -179,9 +191,9 @@
 
 void Front::cancel(Ms now, std::uint64_t request, const std::string& id, int tries) {
   if (!wire::valid_job_id(id)) return out_.reply(request, 404, wire::error_body("no such job"));
-  if (tries >= kCancelTries) return refuse(request, "try again");
+  if (tries >= kCancelTries) return refuse(request, Refusal::again);
   look_up(now, id, [this, request, id, tries](Ms t, const Found& f) {
-    if (f.failed) return refuse(request, "the store can't be asked");
+    if (f.failed) return refuse(request, Refusal::store);
     if (!f.live && !f.over) return out_.reply(request, 404, wire::error_body("no such job"));
     if (f.over || f.live->withdrawn) return answer_known(request, id, f);
     auto record = *f.live;
@@ -195,7 +207,7 @@
         return out_.reply(request, 200, wire::job_status(id, wire::kWithdrawn));
       }
       if (status == 409) return cancel(t2, request, id, tries + 1);
-      refuse(request, "the store can't be asked");
+      refuse(request, Refusal::store);
     });
   });
 }
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -44,7 +44,10 @@
   void look_up(Ms now, const std::string& id, std::function<void(Ms, const Found&)> done);
   void tell_final(std::uint64_t request, const std::string& id, const wire::OverRecord& record);
   void final_status(Ms now, std::uint64_t request, const std::string& id);
-  void refuse(std::uint64_t request, const char* why, int status = 503);
+  // The user is to come again; nothing has been decided.
+  void refuse(std::uint64_t request, telemetry::Refusal why, int status = 503);
+  // For good.
+  void deny(std::uint64_t request, int status, const wire::BadField& bad);
   void answer_known(std::uint64_t request, const std::string& id, const Found& found);
   std::optional<wire::BadField> can_never_run(const wire::Job& job) const;
   void remember(const std::string& id, wire::OverRecord record);
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -50,7 +50,8 @@
 // ---- loading ------------------------------------------------------------------------------------
 
 void Leader::begin(Ms now) {
-  last_direct_ = now;
+  began_ = last_direct_ = now;
+  out_.figures().add(telemetry::Count::takeovers);
   revision_ = leader_version_;
   // Whatever an earlier leader answered, it answered before this takeover, to a report sent earlier
   // still. After this long every worker that has not heard from us has lost its lease.
@@ -100,8 +101,7 @@
       ++doubt;
     }
   }
-  log(Level::info, "took over " + std::to_string(jobs_.size()) + " jobs, " + std::to_string(doubt) +
-                       " tasks in doubt");
+  log(Event::takeover_loaded, term_, jobs_.size(), doubt);
   std::vector<std::string> ids;
   for (auto& [id, job] : jobs_) ids.push_back(id);
   for (const auto& id : ids)
@@ -114,7 +114,7 @@
                           std::uint64_t version) {
   auto record = wire::decode_live(value);
   if (!record) {
-    log(Level::error, "record of " + id + " can't be read; the job is left alone");
+    log(Event::job_unreadable, id);
     return nullptr;
   }
   auto job = std::make_unique<JobState>();
@@ -191,7 +191,7 @@
 
 void Leader::job_withdrawn(Ms now, JobState& job) {
   job.withdrawn = true;
-  log(Level::info, job.spec.id + " withdrawn");
+  log(Event::job_withdrawn, job.spec.id);
   // Its tasks are told to stop at once, by direct command and in each answer until they are gone.
   for (auto* m : fleet_) {
     if (job.placed == 0) break;
@@ -202,6 +202,7 @@
         vacate(*m, it);
       } else {
         any = true;
+        if (!it->second.stopping) out_.figures().add(telemetry::Count::stops, telemetry::Stop::withdrawn);
         it->second.stopping = m->stopping = true;
         it->second.grace_s = 0;
       }
@@ -295,6 +296,31 @@
   return c;
 }
 
+void Leader::gauge(Ms now) const {
+  using telemetry::Gauge;
+  auto& f = out_.figures();
+  double waiting = 0, placed = 0, doubt = 0, up = 0, booting = 0, lost = 0, leaving = 0, held = 0;
+  for (const auto& [id, job] : jobs_) {
+    waiting += job->waiting;
+    placed += job->placed;
+    doubt += job->doubt;
+  }
+  for (const auto* m : fleet_) {
+    if (m->held) ++held;
+    ++(m->lost ? lost : !m->up ? booting : usable(now, *m) ? up : leaving);
+  }
+  f.set(Gauge::jobs, static_cast<double>(jobs_.size()));
+  f.set(Gauge::tasks, waiting, 0);
+  f.set(Gauge::tasks, placed, 1);
+  f.set(Gauge::tasks, doubt, 2);
+  f.set(Gauge::machines, up, 0);
+  f.set(Gauge::machines, booting, 1);
+  f.set(Gauge::machines, lost, 2);
+  f.set(Gauge::machines, leaving, 3);
+  f.set(Gauge::doubt, doubt);
+  f.set(Gauge::held, held);
+}
+
 void Leader::resign() {
   for (auto* m : fleet_) {
     if (m->held) out_.reply(*m->held, 503, wire::error_body("no leader"));
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -32,7 +32,7 @@
   void tick(Ms now);
   void resign();  // refuses the reports that are still held
   // How a report came: straight from the worker, or passed on by another controller.
-  enum class Way { direct, peer, store };
+  using Way = telemetry::Way;
   void report(Ms now, std::uint64_t request, wire::Report report, Way way);
   Ms last_direct() const { return last_direct_; }
   // The last report of a worker in this node's own zone that had to come by way of another.
@@ -49,6 +49,7 @@
   // Machines and tasks looked at so far: what placement costs, whatever the processor.
   std::uint64_t work() const { return work_; }
   std::uint64_t reports() const { return reports_; }
+  void gauge(Ms now) const;  // sets the gauges of the figures
 
  private:
   enum class Stage : std::uint8_t { assigned, sent, fetching, running, saving };
@@ -175,7 +176,8 @@
                        const std::string& zone, bool spot);
   void forget_machine(const std::string& name);
   bool can_call_cloud(Ms now);
-  void cloud_answered(int status, bool no_capacity = false);
+  void cloud_answered(Ms now, int status, bool no_capacity = false);
+  std::string offer_text(int type, int zone, bool spot) const;
 
   // store
   void persist(Ms now, JobState& job);
@@ -187,7 +189,10 @@
   int type_index(const std::string& name) const;
   int zone_index(const std::string& name) const;
   int image_index(const std::string& name);
-  void log(Level level, std::string text) { out_.log(level, std::move(text)); }
+  template <class... T>
+  void log(Event event, T&&... values) {
+    out_.log(event, std::forward<T>(values)...);
+  }
   // Continuations run only while this leader exists.
   template <class F>
   Done mine(F f) {
@@ -224,7 +229,8 @@
   std::vector<Ms> offer_blocked_;  // until when
   std::deque<Rental> rentals_;
   Bucket cloud_;
-  bool release_in_flight_ = false, cloud_trouble_ = false;
+  bool release_in_flight_ = false;
+  Ms cloud_down_since_ = 0;  // 0: it can be used
 
   Blame blame_;
   portfolio::Params params_;
@@ -232,10 +238,10 @@
   portfolio::Predictor predictor_;
   portfolio::Policy policy_;
   double steps_per_ms_ = 2000;
-  std::string selection_of_;  // what is being replayed, for the log
+  std::size_t selection_jobs_ = 0, selection_machines_ = 0;  // what is being replayed, for the log
   std::uint64_t selection_steps_ = 0;
   std::uint64_t work_ = 0, reports_ = 0;
-  Ms next_place_ = 0, stir_at_ = 0;
+  Ms next_place_ = 0, stir_at_ = 0, began_ = 0;
 };
 
 }  // namespace hitchfront::core
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -82,12 +82,19 @@
 }
 
 // Without this line a day on which nothing is rented does not tell why.
-void Leader::cloud_answered(int status, bool no_capacity) {
+void Leader::cloud_answered(Ms now, int status, bool no_capacity) {
   const bool trouble = (status != 200 && status != 400) && !no_capacity;
-  if (trouble == cloud_trouble_) return;
-  cloud_trouble_ = trouble;
-  log(Level::info, trouble ? "the cloud can't be used (" + (status == 0 ? std::string("no answer") : std::to_string(status)) + ")"
-                           : std::string("the cloud can be used again"));
+  if (trouble == (cloud_down_since_ != 0)) return;
+  if (trouble)
+    log(Event::cloud_down, status);
+  else
+    log(Event::cloud_up, static_cast<double>(now - cloud_down_since_) / 1000);
+  cloud_down_since_ = trouble ? now : 0;
+}
+
+std::string Leader::offer_text(int type, int zone, bool spot) const {
+  return (type < 0 ? std::string("?") : types_[static_cast<std::size_t>(type)].name) + "/" +
+         (zone < 0 ? std::string("?") : zones_[static_cast<std::size_t>(zone)]) + (spot ? "/spot" : "/ordinary");
 }
 
 bool Leader::can_call_cloud(Ms now) {
@@ -140,24 +147,26 @@
     if (it == rentals_.end()) return;
     it->in_flight = false;
     const bool no_capacity = status == 503 && body.find("no capacity") != std::string_view::npos;
-    cloud_answered(status, no_capacity);
+    cloud_answered(t, status, no_capacity);
+    const auto& taken = offers_[it->offer];
+    const auto offer = offer_text(taken.type, taken.zone, taken.spot);
     const bool spot = offers_[it->offer].spot;
     if (status == 200) {
       if (auto names = wire::parse_rented(body)) {
         for (const auto& n : *names)
           if (!machines_.contains(n) && !tombstones_.contains(n)) add_machine(t, n, type, zone, spot);
-        log(Level::info, "rented " + std::to_string(names->size()) + " of " + std::to_string(it->count) + " " +
-                             type + " in " + zone + (spot ? " (spot)" : ""));
+        log(Event::machine_rented, offer, it->count, names->size());
+        out_.figures().add(telemetry::Count::rented, static_cast<double>(names->size()));
         // Partly filled: there is no more of it for now.
         if (names->size() < it->count) offer_blocked_[it->offer] = t + kNoCapacityMs;
       }
       rentals_.erase(it);
     } else if (no_capacity) {
       offer_blocked_[it->offer] = t + kNoCapacityMs;
-      log(Level::info, "no capacity for " + type + " in " + zone + (spot ? " (spot)" : ""));
+      log(Event::machine_refused, offer);
       rentals_.erase(it);
     } else if (status == 400) {
-      log(Level::error, "the cloud calls a rental request malformed: " + type + " in " + zone);
+      log(Event::cloud_malformed, offer);
       offer_blocked_[it->offer] = t + kTypesMs;
       rentals_.erase(it);
     } else {
@@ -229,7 +238,8 @@
       p.stopping = true;
       p.grace_s = p.job->spec.save_s + kGraceSpareS;
     }
-    log(Level::info, "moving " + std::to_string(m->tasks.size()) + " tasks off " + m->name);
+    log(Event::machine_emptied, m->name, m->tasks.size());
+    out_.figures().add(telemetry::Count::stops, telemetry::Stop::emptied, static_cast<double>(m->tasks.size()));
     if (!answer(now, *m, false)) stop_direct(now, *m);
   }
 }
@@ -257,13 +267,16 @@
       if (!(stuck || lost || taken || emptied || drained || idle || m->failed)) continue;
       if (!m->tasks.empty() && !m->failed && !taken) continue;
       m->releasing = true;
-      log(Level::info, "returning " + m->name + (stuck        ? ": never came up"
-                                              : lost       ? ": lost"
-                                              : emptied    ? ": its tasks moved"
-                                              : taken      ? ": being taken"
-                                              : m->failed  ? ": failed"
-                                              : drained    ? ": faulty"
-                                                           : ": idle"));
+      using telemetry::Back;
+      const auto [why, word] = stuck       ? std::pair{Back::stuck, "never came up"}
+                               : lost      ? std::pair{Back::lost, "lost"}
+                               : emptied   ? std::pair{Back::emptied, "emptied"}
+                               : taken     ? std::pair{Back::taken, "taken"}
+                               : m->failed ? std::pair{Back::failed, "failed"}
+                               : drained   ? std::pair{Back::faulty, "faulty"}
+                                           : std::pair{Back::idle, "idle"};
+      log(Event::machine_returned, m->name, word);
+      out_.figures().add(telemetry::Count::returned, why);
     }
     names.push_back(m->name);
     if (names.size() == 100) break;
@@ -278,7 +291,7 @@
   c.timeout_ms = kCloudTimeoutMs;
   out_.call(std::move(c), mine([this, names](Ms t, int status, std::string_view) {
     release_in_flight_ = false;
-    cloud_answered(status);
+    cloud_answered(t, status);
     if (status != 200) return;  // again in the next round
     for (const auto& n : names) {
       auto it = machines_.find(n);
@@ -304,7 +317,7 @@
   c.timeout_ms = kCloudTimeoutMs;
   out_.call(std::move(c), mine([this](Ms t, int status, std::string_view body) {
     listing_ = false;
-    cloud_answered(status);
+    cloud_answered(t, status);
     auto page = status == 200 ? wire::parse_machines(body) : std::nullopt;
     if (!page) return;
     for (const auto& l : page->machines) {
@@ -323,7 +336,7 @@
       if (m->addr.empty()) m->addr = l.addr;
       if (l.status == wire::ListedMachine::Status::failed && !m->failed) {
         m->failed = true;
-        log(Level::info, "machine " + l.name + " has failed");
+        log(Event::machine_failed, l.name);
       }
     }
     if (page->more && !page->machines.empty()) {
--- a/src/core/leader_preemption.cpp
+++ b/src/core/leader_preemption.cpp
@@ -102,9 +102,10 @@
         m->room.add(size_of(p->job->spec));
         p->room_given = true;
       }
-      if (!best.victims.empty())
-        log(Level::info, "making room on " + m->name + " for " + job->spec.id + ", " +
-                             std::to_string(best.victims.size()) + " tasks stop");
+      if (!best.victims.empty()) {
+        log(Event::room_made, m->name, job->spec.id, best.victims.size());
+        out_.figures().add(telemetry::Count::stops, telemetry::Stop::preempted, static_cast<double>(best.victims.size()));
+      }
       assign(now, *job, *m, static_cast<std::uint32_t>(job->next_waiting()));
       told.insert(m);
       if (auto o = offer_of(at)) {
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -18,6 +18,7 @@
 void Leader::report(Ms now, std::uint64_t request, wire::Report report, Way way) {
   auto* r = &report;
   if (!may_act(now)) return out_.reply(request, 503, wire::error_body("no leader"));
+  out_.figures().add(telemetry::Count::reports, way);
   if (way == Way::direct)
     last_direct_ = now;
   else if (r->zone == platform_.zone)
@@ -36,9 +37,7 @@
     m = add_machine(now, r->machine, r->type, r->zone, r->spot);
     if (m == nullptr) return out_.reply(request, 503, wire::error_body("machine type not known yet"));
     m->born = now;
-    log(Level::info, "machine " + r->machine + " reports (" + r->type + ", " + r->zone +
-                         (r->spot ? ", spot)" : ")") +
-                         (r->session > 1 ? ", in session " + std::to_string(r->session) : std::string()));
+    log(Event::machine_reports, r->machine, offer_text(m->type, m->zone, r->spot), r->session);
   }
   // The newest report once more, by another way: the answer to the first copy got lost. Renewing the
   // lease is all it needs; a launch in the lost answer shows as absent in the next report.
@@ -65,7 +64,7 @@
       ++p;
       if (sent) gone(now, *m, key);
     }
-    log(Level::info, "machine " + m->name + " began session " + std::to_string(r->session));
+    log(Event::machine_session, m->name, r->session);
   }
   if (!m->up) m->idle_since = now;
   m->up = true;
@@ -76,23 +75,27 @@
   m->session = r->session;
   m->seq = r->seq;
   m->last_report = now;
+  if (!m->confirmed && r->token == term_)
+    out_.figures().observe(telemetry::Spread::confirm_s, static_cast<double>(now - began_) / 1000);
   m->confirmed = r->token == term_;
   if (r->notice_s && m->taken_at == 0) {
     // The notice may be half as long as announced.
     m->taken_at = now + static_cast<Ms>(*r->notice_s * 500);
-    log(Level::info, "machine " + m->name + " will be taken within " + std::to_string(*r->notice_s) + " s");
+    log(Event::machine_notice, m->name, *r->notice_s);
     for (auto p = m->tasks.begin(); p != m->tasks.end();) {
       auto& pl = p->second;
       const auto next = std::next(p);
       if (pl.stage == Stage::assigned) {
         vacate(*m, p);
       } else if (pl.job->spec.checkpoint_s > 0) {
+        if (!pl.stopping) out_.figures().add(telemetry::Count::stops, telemetry::Stop::notice);
         pl.stopping = m->stopping = true;
         pl.grace_s = pl.job->spec.save_s + kGraceSpareS;
       } else {
         // It can't save: if it won't be done in time it may as well begin again elsewhere at once.
         const double ran = ran_s(now, pl);
         pl.stopping = run_time(*pl.job) - ran > *r->notice_s;
+        if (pl.stopping) out_.figures().add(telemetry::Count::stops, telemetry::Stop::notice);
         m->stopping = m->stopping || pl.stopping;
       }
       p = next;
@@ -125,7 +128,7 @@
             m.pace += kPaceWeight * (ran * job->run_count / job->run_sum_s - m.pace);
             if (m.pace > kFaultyPace && !m.draining) {
               m.draining = true;
-              log(Level::info, "machine " + m.name + " is far slower than its peers; it is drained and returned");
+              log(Event::machine_slow, m.name, m.pace);
             }
           }
           job->run_sum_s += ran;
@@ -137,11 +140,12 @@
       } else if (it != m.tasks.end() && it->second.attempt == t.attempt && it->second.stage != Stage::assigned) {
         // `busy` means that another attempt of this task is on this very machine; the report lists
         // it too, and then it is taken up below.
-        log(Level::debug, t.job + "/" + std::to_string(t.task) + " ended on " + m.name + ", cause " +
-                              std::to_string(static_cast<int>(t.cause)) + ", after " +
-                              std::to_string(static_cast<int>(ran_s(now, it->second))) + " s");
+        log(Event::task_ended, t.job, t.task, m.name, wire::name(t.cause), ran_s(now, it->second));
         gone(now, m, key);
-        if (t.cause == wire::Cause::error) failed(now, m, *job);
+        if (t.cause == wire::Cause::error) {
+          out_.figures().add(telemetry::Count::failures);
+          failed(now, m, *job);
+        }
         if (t.cause == wire::Cause::unknown) job->not_before = now + kFailPauseMs;
       }
       continue;
@@ -164,8 +168,11 @@
     p.attempt = t.attempt;
     p.listed = listed;
     if (t.state != wire::TaskState::fetching && t.state != wire::TaskState::saving && p.run_since == 0 &&
-        p.stage != Stage::assigned)
+        p.stage != Stage::assigned) {
       p.run_since = now;
+      out_.figures().observe(telemetry::Spread::start_s, static_cast<double>(now - job->seen) / 1000,
+                             static_cast<std::size_t>(job->spec.priority));
+    }
     if (p.stage == Stage::assigned) --m.assigned;
     set_stage(p, t.state == wire::TaskState::fetching ? Stage::fetching
                  : t.state == wire::TaskState::saving ? Stage::saving
@@ -184,6 +191,7 @@
   if (job.phase[task] == TaskPhase::done) return;
   if (job.phase[task] == TaskPhase::doubt) count_team(job, -1);
   job.set(task, TaskPhase::done);
+  out_.figures().add(telemetry::Count::completions);
   job.not_before = 0;
   const auto* failed_on = blame_.is_proved(job.index) ? nullptr : blame_.failed_on(job.index);
   blame_.completed(job.index, m.name);
@@ -199,7 +207,7 @@
 void Leader::drain_if_faulty(Machine& m) {
   if (m.draining || !blame_.faulty(m.name)) return;
   m.draining = true;
-  log(Level::info, "machine " + m.name + " fails tasks of jobs that complete elsewhere; it is drained and returned");
+  log(Event::machine_faulty, m.name);
 }
 
 void Leader::failed(Ms now, Machine& m, JobState& job) {
@@ -210,7 +218,7 @@
   // The job may itself be at fault: fewer tries, but never none.
   job.not_before = now + std::min(kFailPauseMostMs, kFailPauseMs << std::min(n - 1, 10U));
   if (!before && blame_.suspect(job.index))
-    log(Level::info, job.spec.id + " fails on several machines and completes nowhere; it is tried one task at a time");
+    log(Event::job_suspect, job.spec.id);
 }
 
 // Answers the held report. Without `force` only when there is something to say.
@@ -262,6 +270,7 @@
       p.since = now;
       room.add(size_of(p.job->spec), -1);
       commands.push_back({wire::Command::Op::start, p.job->spec.id, p.task, p.attempt, 0});
+      out_.figures().add(telemetry::Count::launches);
     }
   }
   if (commands.empty() && !force) return false;
@@ -314,8 +323,9 @@
       if (job->withdrawn) withdrawn.push_back(job.get());
     }
     for (auto* j : withdrawn) persist(now, *j);
-    // More than a few: workers lost their leases on the way to this leader, or were taken.
-    if (nowhere > 0) log(Level::info, std::to_string(nowhere) + " tasks in doubt were found nowhere and go to the queue");
+    const double seconds = static_cast<double>(now - began_) / 1000;
+    log(Event::takeover_settled, term_, seconds, nowhere);
+    out_.figures().observe(telemetry::Spread::doubt_s, seconds);
     dirty_ = true;
   }
   // Without the right to act it answers nobody, and says no leases are over that a successor may have renewed.
@@ -330,8 +340,9 @@
       out_.reply(*m->held, 503, wire::error_body("lease over"));
       m->held.reset();
     }
-    log(Level::info, "machine " + m->name + " lost: its lease is over, " + std::to_string(m->tasks.size()) +
-                         " tasks go elsewhere");
+    log(Event::machine_lost, m->name, m->tasks.size());
+    out_.figures().add(telemetry::Count::leases_lost);
+    out_.figures().add(telemetry::Count::tasks_lost, static_cast<double>(m->tasks.size()));
     std::vector<TaskKey> keys;
     for (const auto& [key, p] : m->tasks) keys.push_back(key);
     for (const auto& key : keys) gone(now, *m, key);
--- a/src/core/leader_selection.cpp
+++ b/src/core/leader_selection.cpp
@@ -103,7 +103,8 @@
   auto s = snapshot(now);
   if (s.queue.empty()) return;  // nothing to choose by; the last choice stands
   const double budget_ms = static_cast<double>(period) * platform_.cores * operator_.get("replay_share", inputs);
-  selection_of_ = std::to_string(s.queue.size()) + " jobs, " + std::to_string(s.machines.size()) + " machines";
+  selection_jobs_ = s.queue.size();
+  selection_machines_ = s.machines.size();
   selection_steps_ = 0;
   selector_.begin(std::move(s), budget_ms * steps_per_ms_, params_);
 }
@@ -112,15 +113,16 @@
   std::uint64_t spent = 0;
   while (selector_.running() && spent < steps) spent += selector_.step();
   selection_steps_ += spent;
-  if (!selector_.running())
-    log(Level::debug, "selection over " + selection_of_ + ": " + std::to_string(selector_.replayed()) + " replayed in " +
-                          std::to_string(selection_steps_) + " steps, " +
-                          std::to_string(static_cast<std::uint64_t>(steps_per_ms_)) + " a millisecond");
+  out_.figures().add(telemetry::Count::replay_steps, static_cast<double>(spent));
+  if (!selector_.running()) {
+    log(Event::selection_replayed, selection_jobs_, selection_machines_, selector_.replayed(), selection_steps_,
+        static_cast<std::uint64_t>(steps_per_ms_));
+    out_.figures().add(telemetry::Count::selections);
+    out_.figures().observe(telemetry::Spread::replayed, static_cast<double>(selector_.replayed()));
+  }
   if (!selector_.running() && selector_.replayed() > 0 && !(policy_ == selector_.chosen())) {
     policy_ = selector_.chosen();
-    log(Level::info, "policy " + portfolio::name(policy_) + ", utility " +
-                         std::to_string(selector_.chosen_utility()) + " best of " +
-                         std::to_string(selector_.replayed()) + " replayed");
+    log(Event::policy_chosen, portfolio::name(policy_), selector_.chosen_utility(), selector_.replayed());
     dirty_ = true;
     schedule(now);
   }
--- a/src/core/leader_store.cpp
+++ b/src/core/leader_store.cpp
@@ -79,7 +79,7 @@
     if (j == nullptr || j->index != index) return;
     j->writing = false;
     if (status == 200) {
-      log(Level::info, id + (withdrawn ? " withdrawn, all its tasks are gone" : " done"));
+      log(withdrawn ? Event::job_gone : Event::job_done, id);
       return remove_job(t, id);
     }
     j->resync = true;
--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -70,7 +70,7 @@
   if (it == rounds_.end()) return;
   // Counted from before the question was sent, which is before the promise was made.
   const Ms until = it->second + static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 - 2 * kDrift)) - kLeaderMarginMs;
-  if (promises_.empty()) out_.log(Level::info, "the store can't be reached; going on while the others promise not to take over");
+  if (promises_.empty()) out_.log(Event::outage_promised, term_);
   auto& mine = promises_[node];
   mine = std::max(mine, until);
 }
@@ -166,7 +166,10 @@
   if (leading_ && version < version_) return;  // older than our own takeover
   if (contending_) return;                     // our own transaction's outcome decides
   if (leading_) lost(now, "another node took over");
-  if (leader_ != node || version_ != version) observed_at_ = now;
+  if (leader_ != node || version_ != version) {
+    observed_at_ = now;
+    if (node != node_) out_.log(Event::leader_followed, term, node);
+  }
   leader_ = node;
   term_ = term;
   version_ = version;
@@ -174,7 +177,7 @@
   // Our own name on a lease that we don't hold: a former process of ours, which is dead, or a
   // takeover that was given up. Nobody acts under it, so it can end at once.
   if (node == node_ && lease != 0) {
-    out_.log(Level::info, "ending the lease of this node's former process");
+    out_.log(Event::leader_former_ended);
     former_ours_ = true;
     leader_.clear();
     store_.call(now, Rank::lease, Method::del, wire::end_path(lease), {},
@@ -260,7 +263,7 @@
   promises_.clear();
   lease_until_ = conservative(lease_sent_);
   next_touch_ = now + kRenewMs / 2;
-  out_.log(Level::info, "leading in term " + std::to_string(term));
+  out_.log(Event::leader_elected, term);
   store_.lead(true);
   if (on_won) on_won(now);
 }
@@ -296,7 +299,8 @@
   lease_until_ = 0;
   lease_ = 0;
   leader_.clear();
-  out_.log(Level::info, std::string("no longer leading: ") + why);
+  out_.log(Event::leader_lost, term_, why);
+  out_.figures().add(telemetry::Count::leads_lost);
   store_.lead(false);
   if (on_lost) on_lost(now);
   read_at_ = now + kStoreRetryMs;
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -96,7 +96,7 @@
     // heard again, the others go back to it.
     since = ours || !near ? 0 : now;
     if (!ours)
-      out_.log(Level::info, "passing on reports of " + report.machine + (near ? " to the leader" : " through the store"));
+      out_.log(Event::relay_passing, report.machine, near ? "peer" : "store");
   }
   send_to_leader(now, request, body, until, near);
   return true;
@@ -105,6 +105,7 @@
 void Relay::send_to_leader(Ms now, std::uint64_t request, std::string_view body, Ms until, bool near) {
   const auto id = next_id_++;
   pending_[id] = {request, until, std::string(body), near};
+  out_.figures().add(telemetry::Count::relayed, near ? telemetry::Way::peer : telemetry::Way::store);
   if (near) {
     wire::PeerMessage m;
     m.kind = Kind::relay_ask;
--- a/src/core/store_client.cpp
+++ b/src/core/store_client.cpp
@@ -59,6 +59,7 @@
 }
 
 void StoreClient::enqueue(Ms now, Rank rank, Waiting w) {
+  if (w.born == 0) w.born = now;
   queues_[static_cast<std::size_t>(rank)].push_back(std::move(w));
   pump(now);
 }
@@ -91,6 +92,7 @@
 void StoreClient::send(Ms, Rank rank, Waiting w) {
   HttpCall c = w.call;
   out_.call(std::move(c), [this, rank, w = std::move(w)](Ms now, int status, std::string_view body) mutable {
+    answered(now, w, status);
     // 429: not executed. The other nodes' share of the budget ran over; try again shortly.
     if (status == 429 && ++w.tries < kTries) {
       w.not_before = now + kCrowdedPauseMs;
@@ -101,4 +103,28 @@
   });
 }
 
+// An outage is told once, and once when it is over. A watch that is held in one says nothing either way.
+void StoreClient::answered(Ms now, const Waiting& w, int status) {
+  using telemetry::CallResult;
+  const auto result = status == 200   ? CallResult::ok
+                      : status == 409 ? CallResult::conflict
+                      : status == 404 ? CallResult::missing
+                      : status == 429 ? CallResult::crowded
+                      : status == 503 ? CallResult::refused
+                      : status == 0   ? CallResult::unanswered
+                                      : CallResult::other;
+  out_.figures().add(telemetry::Count::store_calls, result);
+  if (!w.call.watch && status != 0) out_.figures().observe(telemetry::Spread::store_s, static_cast<double>(now - w.born) / 1000);
+  if (status != 0 && status != 503) {
+    if (down_) out_.log(Event::store_up, static_cast<double>(now - failing_since_) / 1000);
+    failing_since_ = 0;
+    down_ = false;
+  } else if (failing_since_ == 0) {
+    failing_since_ = now;
+  } else if (!down_ && now - failing_since_ >= kStoreDownMs) {
+    down_ = true;
+    out_.log(Event::store_down);
+  }
+}
+
 }  // namespace hitchfront::core
--- a/src/core/store_client.hpp
+++ b/src/core/store_client.hpp
@@ -54,6 +54,7 @@
     int writes = 0;
     int tries = 0;
     Ms not_before = 0;
+    Ms born = 0;
   };
   void enqueue(Ms now, Rank rank, Waiting w);
   void send(Ms now, Rank rank, Waiting w);
@@ -62,7 +63,10 @@
   double rps_, write_rps_;
   int nodes_;
   Bucket requests_, writes_;
+  void answered(Ms now, const Waiting& w, int status);
   std::array<std::deque<Waiting>, 4> queues_;
+  Ms failing_since_ = 0;  // 0: the last answer was one
+  bool down_ = false;     // and that was told
 };
 
 }  // namespace hitchfront::core
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -1,8 +1,6 @@
 #include "net/runtime.hpp"
 
 #include <event2/event.h>
-#include <spdlog/spdlog.h>
-
 #include <chrono>
 #include <csignal>
 #include <ctime>
@@ -11,6 +9,7 @@
 
 #include "core/controller.hpp"
 #include "net/client.hpp"
+#include "net/log.hpp"
 #include "net/peers.hpp"
 #include "net/server.hpp"
 #include "settings/constants.hpp"
@@ -48,7 +47,7 @@
         peers_(base_.get(), p, [this](const std::string& node, std::string bytes) {
           core_.peer(steady_ms(), node, bytes);
           flush();
-        }),
+        }, [this](const std::string& path) { return core_.page(steady_ms(), path); }),
         server_(base_.get(), p.client_listen, p.max_connections,
                 [this](std::uint64_t id, core::Method method, const char* path, std::string body) {
                   core_.request(steady_ms(), wall_ms(), id, method, path, body);
@@ -87,6 +86,8 @@
     watch_processor();
     core_.tick(steady_ms(), wall_ms());
     flush();
+    log_.tick(steady_ms());
+    core_.logged(log_.take_written());
     if (core_.wants_replay() && !replay_pending_) later(0);
   }
 
@@ -136,11 +137,10 @@
     while (true) {
       auto effects = core_.take();
       if (effects.empty()) return;
-      for (auto& l : effects.logs)
-        spdlog::log(l.level == core::Level::error  ? spdlog::level::err
-                    : l.level == core::Level::info ? spdlog::level::info
-                                                   : spdlog::level::debug,
-                    "{}", l.text);
+      if (!effects.logs.empty()) {
+        const auto now = steady_ms();
+        for (const auto& l : effects.logs) log_.take(now, l);
+      }
       for (auto& r : effects.replies) server_.reply(r);
       for (auto& p : effects.peers) peers_.send(p.node, p.bytes);
       for (auto& c : effects.calls) call(std::move(c));
@@ -161,6 +161,7 @@
   }
 
   const Platform& platform_;
+  Log log_;
   std::unique_ptr<event_base, FreeBase> base_;
   double given_;  // of a processor
   core::Ms watched_at_ = 0;
@@ -185,7 +186,7 @@
     auto runtime = std::make_unique<Runtime>(platform, op);
     return runtime->run();
   } catch (const std::exception& e) {
-    spdlog::error("can't start: {}", e.what());
+    Log().take(0, telemetry::line(telemetry::Event::node_cannot_start, e.what()));
     return 1;
   }
 }
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -48,6 +48,8 @@
 inline constexpr double kStoreShare = 0.9;
 // Share of the write rate, and of the request rate, that the leader may use; the others split the rest evenly.
 inline constexpr double kLeaderShare = 0.5;
+// ms without an answer of the store after which the log says so: a lost packet or a slow call is no outage.
+inline constexpr std::int64_t kStoreDownMs = 1000;
 // Calls waiting for the store's budget before users are refused: about a second's worth.
 inline constexpr std::size_t kStoreQueueMost = 200;
 // Items in a page of a range read: job records are under 1 KB, so a page stays far below 512 KiB.
@@ -194,6 +196,23 @@
 // nearly exactly; 450 with 3,000 tasks in passes of about 2 s, a small part of any task's run.
 inline constexpr double kReplayPassS = 0.5;
 
+// --- log and figures ----------------------------------------------------------------------------
+// ms between summaries of one kind of event: at first, and at most where it goes on and on. A day of 1,000 s in
+// which everything happens all the time then has some twenty lines of each kind.
+inline constexpr std::int64_t kFoldLeastMs = 1000, kFoldMostMs = 64'000;
+// Values that a summary lists, and different values that it counts before the rest is called "other".
+inline constexpr std::size_t kFoldNames = 4, kFoldGroups = 12;
+// Times what the last summary told (and some) that make a surge, which is told at once.
+inline constexpr std::uint64_t kFoldSurge = 4;
+// ms between two controllers' lines about one event that delays explain; more is a clock that is wrong.
+inline constexpr std::int64_t kStoryClockMs = 250;
+// ms for which the text of GET /metrics is given again, and connections that may ask at once: whoever scrapes
+// too often must not take the processor from answers.
+inline constexpr std::int64_t kScrapeMs = 1000;
+inline constexpr std::size_t kPagesMost = 8;
+// bytes of a request head on the peers' side.
+inline constexpr std::size_t kPageHeadMost = 8 * 1024;
+
 // --- network ------------------------------------------------------------------------------------
 // s. Idle client connections are closed. Users poll every 5 s and workers report every 2 s.
 inline constexpr int kIdleS = 60;
--- /dev/null
+++ b/src/telemetry/events.hpp
@@ -0,0 +1,130 @@
+// Every event that the service logs, in one table: name, level, fields and meaning. Text, JSON lines, the
+// summaries, `hitchfront log explain` and the page in docs/operations.md all follow it. Pure.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace hitchfront::telemetry {
+
+enum class Level : std::uint8_t { error, info, debug };
+std::string_view name(Level level);
+
+enum class Event : std::uint8_t {
+  node_started,
+  node_cannot_start,
+  leader_elected,
+  leader_followed,
+  leader_lost,
+  leader_former_ended,
+  outage_promised,
+  store_down,
+  store_up,
+  takeover_loaded,
+  takeover_settled,
+  cloud_down,
+  cloud_up,
+  cloud_malformed,
+  policy_chosen,
+  selection_replayed,
+  job_unreadable,
+  job_suspect,
+  job_withdrawn,
+  job_gone,
+  job_done,
+  machine_faulty,
+  machine_slow,
+  machine_reports,
+  machine_session,
+  machine_notice,
+  machine_lost,
+  machine_failed,
+  machine_rented,
+  machine_refused,
+  machine_returned,
+  machine_emptied,
+  room_made,
+  relay_passing,
+  request_refused,
+  task_ended,
+  log_unwritten,
+};
+inline constexpr std::size_t kEvents = static_cast<std::size_t>(Event::log_unwritten) + 1;
+
+// What becomes of a field when events of a kind are told together: a few values are listed, equal values are
+// counted, numbers are added up, or it is left to the single lines.
+enum class Role : std::uint8_t { none, listed, counted, added };
+enum class Kind : std::uint8_t { text, integer, number, boolean };
+std::string_view name(Kind kind);
+
+struct FieldSpec {
+  const char* name;
+  Kind kind;
+  Role role = Role::none;
+};
+struct EventSpec {
+  Event event;
+  const char* name;
+  Level level;
+  // Told together at `info`, each single one at `debug`: what happens per machine, job or request.
+  bool folded;
+  std::vector<FieldSpec> fields;
+  const char* meaning;
+};
+const std::vector<EventSpec>& events();  // in the order of Event
+const EventSpec& spec(Event event);
+
+using Counts = std::map<std::string, std::uint64_t>;
+using Value = std::variant<std::string, std::int64_t, double, bool, std::vector<std::string>, Counts>;
+
+// Whatever the core has at hand, as a field's value.
+template <class T>
+Value value(T&& v) {
+  using U = std::remove_cvref_t<T>;
+  if constexpr (std::is_same_v<U, bool>)
+    return v;
+  else if constexpr (std::is_integral_v<U>)
+    return static_cast<std::int64_t>(v);
+  else if constexpr (std::is_floating_point_v<U>)
+    return static_cast<double>(v);
+  else
+    return std::string(std::forward<T>(v));
+}
+
+// One event: values in the order of its fields.
+struct Line {
+  Event event{};
+  std::vector<Value> values;
+};
+template <class... T>
+Line line(Event event, T&&... values) {
+  Line l{event, {}};
+  l.values.reserve(sizeof...(values));
+  (l.values.push_back(value(std::forward<T>(values))), ...);
+  return l;
+}
+// Whether the line has just the fields, of just the kinds, that the table says.
+bool fits_table(const Line& line);
+
+// A line as it is written: of a single event, or of several told together (name + ".summary").
+struct Entry {
+  Level level = Level::info;
+  std::string event;
+  std::vector<std::pair<std::string, Value>> fields;
+};
+Entry entry(const Line& line);  // at the level of single lines: debug where the event is folded
+
+// leader.elected term=3. Texts with blanks, quotes or controls are quoted as JSON strings.
+std::string text(const Entry& entry);
+// One JSON object without a line's end. `time`: RFC 3339 as the caller formats it.
+std::string json_line(const Entry& entry, std::string_view time, std::string_view node);
+
+// The table of docs/operations.md, in Markdown.
+std::string markdown_table();
+
+}  // namespace hitchfront::telemetry
--- /dev/null
+++ b/src/telemetry/figures.cpp
@@ -0,0 +1,161 @@
+#include "telemetry/figures.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <sstream>
+
+namespace hitchfront::telemetry {
+namespace {
+
+using Names = std::vector<std::string>;
+struct Spec {
+  const char* name;
+  const char* help;
+  const char* label = "";
+  Names values = {};
+  std::vector<double> bounds = {};
+};
+
+const Names kWays = {"direct", "peer", "store"};
+
+const std::array<Spec, kCounts>& counts() {
+  static const std::array<Spec, kCounts> table = {{
+      {"hitchfront_takeovers_total", "Terms in which this process led"},
+      {"hitchfront_leads_lost_total", "Terms that ended while this process lived"},
+      {"hitchfront_reports_total", "Workers' reports that the leader took", "way", kWays},
+      {"hitchfront_relayed_total", "Workers' reports passed on to the leader", "way", kWays},
+      {"hitchfront_refusals_total", "Requests of users that were refused", "reason",
+       {"busy", "store", "types", "malformed", "never_runs", "try_again", "unknown"}},
+      {"hitchfront_store_calls_total", "Calls of the state service", "result",
+       {"ok", "conflict", "missing", "crowded", "refused", "unanswered", "other"}},
+      {"hitchfront_launches_total", "Launch commands sent"},
+      {"hitchfront_completions_total", "Tasks found completed"},
+      {"hitchfront_failures_total", "Tasks that failed"},
+      {"hitchfront_stops_total", "Tasks told to stop", "why", {"preempted", "emptied", "notice", "withdrawn"}},
+      {"hitchfront_leases_lost_total", "Machines whose lease was over"},
+      {"hitchfront_tasks_lost_total", "Tasks that were on such machines"},
+      {"hitchfront_rented_total", "Machines rented"},
+      {"hitchfront_returned_total", "Machines given back", "why",
+       {"idle", "lost", "emptied", "taken", "failed", "faulty", "stuck"}},
+      {"hitchfront_placement_work_total", "Machines and tasks that placement looked at"},
+      {"hitchfront_replay_steps_total", "Steps of replayed policies"},
+      {"hitchfront_selections_total", "Selections that came to an end"},
+      {"hitchfront_log_lines_total", "Lines written to the log"},
+  }};
+  return table;
+}
+
+const std::array<Spec, kGauges>& gauges() {
+  static const std::array<Spec, kGauges> table = {{
+      {"hitchfront_leading", "1 while this process leads"},
+      {"hitchfront_term", "The newest term that this process knows"},
+      {"hitchfront_jobs", "Unfinished jobs that the leader knows"},
+      {"hitchfront_tasks", "Their tasks, by the leader's books", "state", {"waiting", "placed", "doubt"}},
+      {"hitchfront_machines", "Machines, by the leader's books", "state", {"up", "booting", "lost", "leaving"}},
+      {"hitchfront_doubt_tasks", "Tasks that may be on a machine which is not confirmed in this term"},
+      {"hitchfront_held_reports", "Reports that wait for something to say"},
+  }};
+  return table;
+}
+
+const std::array<Spec, kSpreads>& spreads() {
+  static const std::array<Spec, kSpreads> table = {{
+      {"hitchfront_start_seconds", "From a job's acceptance to a task's first sight running", "standing",
+       {"idle", "standard", "urgent", "production"}, {1, 2, 5, 10, 20, 30, 60, 120, 300}},
+      {"hitchfront_store_seconds", "A store call, waiting for the budget included", "", {}, {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}},
+      {"hitchfront_doubt_seconds", "From taking over until nothing was in doubt", "", {}, {1, 2, 3, 5, 8, 13, 20, 30, 60}},
+      {"hitchfront_confirm_seconds", "From taking over until a machine was confirmed", "", {}, {0.5, 1, 2, 3, 5, 8, 13, 20, 30}},
+      {"hitchfront_replayed_policies", "Policies replayed in a selection", "", {}, {1, 2, 5, 10, 20, 30, 45, 60}},
+  }};
+  return table;
+}
+
+}  // namespace
+
+struct Figures::Registered {
+  prometheus::Registry registry;
+  std::array<std::vector<prometheus::Counter*>, kCounts> counts;
+  std::array<std::vector<prometheus::Gauge*>, kGauges> gauges;
+  std::array<std::vector<prometheus::Histogram*>, kSpreads> spreads;
+};
+
+namespace {
+// One series for each value of the label, or a single one.
+template <class Family, class Add>
+void each_series(const Spec& s, Family& family, Add add) {
+  if (s.values.empty()) return add(family, prometheus::Labels{});
+  for (const auto& v : s.values) add(family, prometheus::Labels{{s.label, v}});
+}
+}  // namespace
+
+Figures::Figures() : r_(std::make_unique<Registered>()) {
+  for (std::size_t i = 0; i < kCounts; ++i) {
+    auto& family = prometheus::BuildCounter().Name(counts()[i].name).Help(counts()[i].help).Register(r_->registry);
+    each_series(counts()[i], family, [&](auto& f, const auto& labels) { r_->counts[i].push_back(&f.Add(labels)); });
+  }
+  for (std::size_t i = 0; i < kGauges; ++i) {
+    auto& family = prometheus::BuildGauge().Name(gauges()[i].name).Help(gauges()[i].help).Register(r_->registry);
+    each_series(gauges()[i], family, [&](auto& f, const auto& labels) { r_->gauges[i].push_back(&f.Add(labels)); });
+  }
+  for (std::size_t i = 0; i < kSpreads; ++i) {
+    auto& family = prometheus::BuildHistogram().Name(spreads()[i].name).Help(spreads()[i].help).Register(r_->registry);
+    each_series(spreads()[i], family, [&](auto& f, const auto& labels) { r_->spreads[i].push_back(&f.Add(labels, spreads()[i].bounds)); });
+  }
+}
+
+Figures::~Figures() = default;
+
+void Figures::add_at(Count what, std::size_t label, double n) {
+  const auto& series = r_->counts[static_cast<std::size_t>(what)];
+  if (label < series.size()) series[label]->Increment(n);
+}
+
+void Figures::set(Gauge what, double v, std::size_t label) {
+  const auto& series = r_->gauges[static_cast<std::size_t>(what)];
+  if (label < series.size()) series[label]->Set(v);
+}
+
+void Figures::observe(Spread what, double v, std::size_t label) {
+  const auto& series = r_->spreads[static_cast<std::size_t>(what)];
+  if (label < series.size()) series[label]->Observe(v);
+}
+
+double Figures::total(Count what) const {
+  double sum = 0;
+  for (const auto* c : r_->counts[static_cast<std::size_t>(what)]) sum += c->Value();
+  return sum;
+}
+
+std::string Figures::exposition() const {
+  std::ostringstream out;
+  prometheus::TextSerializer().Serialize(out, r_->registry.Collect());
+  return out.str();
+}
+
+std::vector<FigureSpec> figures() {
+  std::vector<FigureSpec> out;
+  const auto add = [&out](const auto& table, const char* type) {
+    for (const auto& s : table) out.push_back({s.name, type, s.label, s.help, s.values});
+  };
+  add(counts(), "counter");
+  add(gauges(), "gauge");
+  add(spreads(), "histogram");
+  return out;
+}
+
+std::string figures_markdown() {
+  std::string out = "| figure | type | label | means |\n|---|---|---|---|\n";
+  for (const auto& f : figures()) {
+    std::string label = f.label.empty() ? "" : "`" + f.label + "`: ";
+    for (std::size_t i = 0; i < f.values.size(); ++i) label += (i > 0 ? ", " : "") + f.values[i];
+    out += "| `" + f.name + "` | " + f.type + " | " + (label.empty() ? "none" : label) + " | " + f.help + " |\n";
+  }
+  return out;
+}
+
+}  // namespace hitchfront::telemetry
--- /dev/null
+++ b/src/telemetry/figures.hpp
@@ -0,0 +1,78 @@
+// What the service counts and measures, for GET /metrics (Prometheus' text format, by prometheus-cpp). One table;
+// every label value is known beforehand, so that the number of series never grows with machines or jobs.
+// A registry for each controller: no global state.
+#pragma once
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+namespace hitchfront::telemetry {
+
+enum class Count : std::uint8_t {
+  takeovers,
+  leads_lost,
+  reports,      // by way
+  relayed,      // by way
+  refusals,     // by reason
+  store_calls,  // by result
+  launches,
+  completions,
+  failures,
+  stops,  // by why
+  leases_lost,
+  tasks_lost,
+  rented,
+  returned,  // by why
+  placement_work,
+  replay_steps,
+  selections,
+  log_lines,
+};
+inline constexpr std::size_t kCounts = static_cast<std::size_t>(Count::log_lines) + 1;
+
+enum class Gauge : std::uint8_t { leading, term, jobs, tasks, machines, doubt, held };
+inline constexpr std::size_t kGauges = static_cast<std::size_t>(Gauge::held) + 1;
+
+enum class Spread : std::uint8_t { start_s, store_s, doubt_s, confirm_s, replayed };
+inline constexpr std::size_t kSpreads = static_cast<std::size_t>(Spread::replayed) + 1;
+
+// Labels, as places in the table's lists.
+enum class Way : std::uint8_t { direct, peer, store };
+enum class Refusal : std::uint8_t { busy, store, types, malformed, never, again, unknown };
+enum class CallResult : std::uint8_t { ok, conflict, missing, crowded, refused, unanswered, other };
+enum class Stop : std::uint8_t { preempted, emptied, notice, withdrawn };
+enum class Back : std::uint8_t { idle, lost, emptied, taken, failed, faulty, stuck };
+
+class Figures {
+ public:
+  Figures();
+  ~Figures();
+  Figures(const Figures&) = delete;
+  Figures& operator=(const Figures&) = delete;
+
+  void add(Count what, double n = 1) { add_at(what, 0, n); }
+  template <class Label>
+  void add(Count what, Label label, double n = 1) requires std::is_enum_v<Label> { add_at(what, static_cast<std::size_t>(label), n); }
+  void set(Gauge what, double v, std::size_t label = 0);
+  void observe(Spread what, double v, std::size_t label = 0);
+  // The exposition (text format 0.0.4).
+  std::string exposition() const;
+  double total(Count what) const;  // over all labels
+
+ private:
+  void add_at(Count what, std::size_t label, double n);
+  struct Registered;
+  std::unique_ptr<Registered> r_;
+};
+
+struct FigureSpec {
+  std::string name, type, label, help;
+  std::vector<std::string> values;  // of the label; empty: none
+};
+std::vector<FigureSpec> figures();
+std::string figures_markdown();  // the table of docs/operations.md
+
+}  // namespace hitchfront::telemetry
--- /dev/null
+++ b/src/telemetry/fold.cpp
@@ -0,0 +1,95 @@
+#include "telemetry/fold.hpp"
+
+#include <algorithm>
+
+#include "settings/constants.hpp"
+
+namespace hitchfront::telemetry {
+using namespace settings;
+
+std::vector<Entry> Folder::take(Ms now, const Line& line) {
+  std::vector<Entry> out{entry(line)};
+  const auto& s = spec(line.event);
+  if (!s.folded) return out;
+  auto& g = groups_[static_cast<std::size_t>(line.event)];
+  add(now, line, g);
+  if (due(now, g)) out.push_back(summary(now, s, g));
+  return out;
+}
+
+std::vector<Entry> Folder::tick(Ms now) {
+  std::vector<Entry> out;
+  for (const auto& s : events()) {
+    auto& g = groups_[static_cast<std::size_t>(s.event)];
+    if (g.period == 0 || now < g.due) continue;
+    if (g.count > 0) {
+      out.push_back(summary(now, s, g));
+    } else if (g.period <= kFoldLeastMs) {
+      g = {};
+    } else {  // quiet for a whole period
+      g.period /= 2;
+      g.due = now + g.period;
+    }
+  }
+  return out;
+}
+
+bool Folder::due(Ms now, const Group& g) const {
+  if (now >= g.due) return true;
+  return g.last_count > 0 && now - g.told >= kFoldLeastMs && g.count >= kFoldSurge * (g.last_count + kFoldNames);
+}
+
+void Folder::add(Ms now, const Line& line, Group& g) {
+  const auto& s = spec(line.event);
+  if (g.period == 0) {
+    g.period = kFoldLeastMs;
+    g.due = now + g.period;
+  }
+  if (g.count++ == 0) {
+    g.since = now;
+    g.listed.assign(s.fields.size(), {});
+    g.counted.assign(s.fields.size(), {});
+    g.added.assign(s.fields.size(), 0);
+  }
+  for (std::size_t i = 0; i < line.values.size() && i < s.fields.size(); ++i) {
+    const auto& v = line.values[i];
+    switch (s.fields[i].role) {
+      case Role::none: break;
+      case Role::listed:
+        if (const auto* text = std::get_if<std::string>(&v); text != nullptr && g.listed[i].size() < kFoldNames) g.listed[i].push_back(*text);
+        break;
+      case Role::counted:
+        if (const auto* text = std::get_if<std::string>(&v)) {
+          auto& counts = g.counted[i];
+          ++counts[counts.contains(*text) || counts.size() < kFoldGroups ? *text : "other"];
+        }
+        break;
+      case Role::added:
+        if (const auto* n = std::get_if<std::int64_t>(&v)) g.added[i] += *n;
+        break;
+    }
+  }
+}
+
+Entry Folder::summary(Ms now, const EventSpec& s, Group& g) {
+  Entry e;
+  e.level = s.level;
+  e.event = std::string(s.name) + ".summary";
+  e.fields.emplace_back("count", value(g.count));
+  for (std::size_t i = 0; i < s.fields.size(); ++i) {
+    const auto& f = s.fields[i];
+    if (f.role == Role::listed) e.fields.emplace_back(f.name, g.listed[i]);
+    if (f.role == Role::counted) e.fields.emplace_back(f.name, g.counted[i]);
+    if (f.role == Role::added) e.fields.emplace_back(f.name, value(g.added[i]));
+  }
+  e.fields.emplace_back("over_s", value(static_cast<double>(now - g.since) / 1000));
+  const bool surge = now < g.due;
+  g.period = surge ? kFoldLeastMs : std::min(2 * g.period, kFoldMostMs);
+  g.due = now + g.period;
+  g.told = now;
+  g.last_count = g.count;
+  g.count = 0;
+  return e;
+}
+
+}  // namespace hitchfront::telemetry
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -58,6 +58,8 @@
 
 }  // namespace
 
+std::string_view name(Cause cause) { return name_of(kCauses, cause); }
+
 std::optional<Report> parse_report(std::string_view body) {
   json o = json::parse(body, nullptr, false);
   if (!o.is_object()) return std::nullopt;
--- a/src/wire/worker.hpp
+++ b/src/wire/worker.hpp
@@ -10,6 +10,7 @@
 
 enum class TaskState { fetching, running, saving, ended };
 enum class Cause { none, done, stopped, error, full, busy, unknown };
+std::string_view name(Cause cause);  // as on the wire
 
 struct ReportedTask {
   std::string job;
--- /dev/null
+++ b/tests/telemetry_test.cpp
@@ -0,0 +1,204 @@
+// The log and the figures: tables, summaries, the story of several controllers' logs.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+#include "settings/constants.hpp"
+#include "telemetry/fold.hpp"
+#include "telemetry/figures.hpp"
+#include "telemetry/story.hpp"
+
+namespace hitchfront::telemetry {
+namespace {
+using nlohmann::json;
+
+std::string operations() {
+  std::ifstream in(std::string(HITCHFRONT_SOURCE) + "/docs/operations.md");
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+// The page and the tables can't drift apart.
+TEST(Events, TheOperatorsPageIsTheTable) {
+  ASSERT_EQ(events().size(), kEvents);
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < kEvents; ++i) {
+    EXPECT_EQ(static_cast<std::size_t>(events()[i].event), i) << events()[i].name;
+    EXPECT_TRUE(names.insert(events()[i].name).second) << events()[i].name << " twice";
+  }
+  EXPECT_NE(operations().find(markdown_table()), std::string::npos) << "docs/operations.md should hold:\n" << markdown_table();
+}
+
+TEST(Figures, TheOperatorsPageIsTheTable) {
+  EXPECT_NE(operations().find(figures_markdown()), std::string::npos) << "docs/operations.md should hold:\n" << figures_markdown();
+}
+
+TEST(Events, AreWrittenAsTextAndAsJson) {
+  const auto e = entry(line(Event::leader_lost, 3U, "the \"lease\" ended\n"));
+  EXPECT_EQ(text(e), "leader.lost term=3 why=\"the \\\"lease\\\" ended\\n\"");
+  const auto o = json::parse(telemetry::json_line(e, "2026-01-02T03:04:05.678Z", "node-1"));
+  EXPECT_EQ(o["event"], "leader.lost");
+  EXPECT_EQ(o["level"], "info");
+  EXPECT_EQ(o["fields"]["term"], 3);
+  EXPECT_EQ(o["fields"]["why"], "the \"lease\" ended\n");
+  // Names come from outside: what is no UTF-8 costs neither line.
+  const auto odd = entry(line(Event::machine_faulty, "n-\xff\xfe"));
+  EXPECT_TRUE(json::accept(telemetry::json_line(odd, "", "")));
+  EXPECT_EQ(text(odd).find('\n'), std::string::npos);
+  EXPECT_TRUE(fits_table(line(Event::machine_lost, "n-1", 5)));
+  EXPECT_FALSE(fits_table(line(Event::machine_lost, "n-1")));
+  EXPECT_FALSE(fits_table(line(Event::machine_lost, "n-1", "five")));
+}
+
+std::vector<Entry> at_info(std::vector<Entry> entries) {
+  std::erase_if(entries, [](const Entry& e) { return e.level == Level::debug; });
+  return entries;
+}
+template <class T>
+T field(const Entry& e, const std::string& name) {
+  for (const auto& [n, v] : e.fields)
+    if (n == name) return std::get<T>(v);
+  ADD_FAILURE() << e.event << " has no " << name;
+  return {};
+}
+
+// Nothing is lost in a summary: counts, sums and groups are those of the single lines, whatever their rhythm.
+TEST(Fold, SummariesAddUpToTheSingleLines) {
+  Folder f;
+  std::int64_t count = 0, tasks = 0;
+  std::uint64_t idle = 0;
+  std::vector<Entry> told;
+  const auto keep = [&](std::vector<Entry> e) {
+    for (auto& x : at_info(std::move(e))) told.push_back(std::move(x));
+  };
+  std::int64_t now = 1000;
+  std::uint64_t r = 7;
+  for (int i = 0; i < 5000; ++i) {
+    r = r * 6364136223846793005ULL + 1442695040888963407ULL;
+    now += static_cast<std::int64_t>(r >> 60) * ((r >> 50 & 63) == 0 ? 3000 : 20);
+    ++count;
+    tasks += i % 5;
+    keep(f.take(now, line(Event::machine_lost, "n-" + std::to_string(i), i % 5)));
+    idle += i % 3 == 0 ? 1 : 0;
+    keep(f.take(now, line(Event::machine_returned, "n-" + std::to_string(i), i % 3 == 0 ? "idle" : "lost")));
+    keep(f.tick(now));
+  }
+  keep(f.tick(now + 200'000));
+  std::int64_t counted = 0, added = 0;
+  std::uint64_t grouped = 0;
+  for (const auto& e : told) {
+    if (e.event == "machine.lost.summary") {
+      counted += field<std::int64_t>(e, "count");
+      added += field<std::int64_t>(e, "tasks");
+      EXPECT_LE(field<std::vector<std::string>>(e, "machine").size(), settings::kFoldNames);
+    } else {
+      ASSERT_EQ(e.event, "machine.returned.summary");
+      grouped += field<Counts>(e, "why")["idle"];
+    }
+  }
+  EXPECT_EQ(counted, count);
+  EXPECT_EQ(added, tasks);
+  EXPECT_EQ(grouped, idle);
+  EXPECT_LT(told.size(), 250U);
+}
+
+// A drip is told ever less often, but a wave in the middle of it at once.
+TEST(Fold, ASurgeIsToldAtOnce) {
+  Folder f;
+  std::int64_t now = 0;
+  std::size_t lines = 0;
+  for (; now < 600'000; now += 500) {
+    lines += at_info(f.take(now, line(Event::machine_lost, "n", 1))).size();
+    lines += at_info(f.tick(now)).size();
+  }
+  EXPECT_LT(lines, 30U);
+  std::int64_t told = -1;
+  for (int i = 0; i < 2000 && told < 0; ++i)
+    if (!at_info(f.take(now + i, line(Event::machine_lost, "n", 1))).empty()) told = i;
+  EXPECT_GE(told, 0);
+  EXPECT_LT(told, 2000);
+}
+
+TEST(Fold, WhatAnOperatorActsOnIsNeverFolded) {
+  for (const auto e : {Event::leader_elected, Event::leader_lost, Event::takeover_loaded, Event::takeover_settled, Event::store_down,
+                       Event::store_up, Event::cloud_down, Event::cloud_up, Event::policy_chosen, Event::machine_faulty,
+                       Event::machine_slow, Event::job_suspect, Event::outage_promised})
+    EXPECT_FALSE(spec(e).folded) << spec(e).name;
+}
+
+TEST(Figures, AreCountedBySeriesKnownBeforehand) {
+  Figures f;
+  const auto series = [](const std::string& text) {
+    std::size_t n = 0;
+    std::istringstream in(text);
+    for (std::string l; std::getline(in, l);) n += l.empty() || l[0] == '#' ? 0 : 1;
+    return n;
+  };
+  const auto before = series(f.exposition());
+  f.add(Count::refusals, Refusal::busy, 3);
+  f.add(Count::launches);
+  f.observe(Spread::start_s, 12.5, 1);
+  f.observe(Spread::start_s, 1, 99);  // no such label: nowhere
+  EXPECT_EQ(f.total(Count::refusals), 3);
+  EXPECT_EQ(series(f.exposition()), before);
+  EXPECT_NE(f.exposition().find("hitchfront_refusals_total{reason=\"busy\"} 3"), std::string::npos);
+  EXPECT_LT(before, 300U);
+}
+
+std::string log_line(std::int64_t ms, const std::string& node, const Line& l) {
+  char time[40];
+  std::snprintf(time, sizeof(time), "2026-03-04T10:%02d:%02d.%03dZ", static_cast<int>(ms / 60000), static_cast<int>(ms / 1000 % 60), static_cast<int>(ms % 1000));
+  return telemetry::json_line(entry(l), time, node) + "\n";
+}
+
+// Two controllers, one with a clock that is 3 s ahead: the story has one order.
+TEST(Story, PutsClocksRightAndTellsTakeovers) {
+  const std::int64_t ahead = 3000;
+  std::string a, b;
+  a += log_line(1000, "a", line(Event::leader_elected, 1));
+  b += log_line(1004 + ahead, "b", line(Event::leader_followed, 1, "a"));
+  a += log_line(1200, "a", line(Event::takeover_loaded, 1, 0, 0));
+  a += log_line(27'700, "a", line(Event::takeover_settled, 1, 26.7, 12));
+  b += log_line(60'000 + ahead, "b", line(Event::leader_elected, 2));
+  a += log_line(60'003, "a", line(Event::leader_followed, 2, "b"));
+  b += log_line(61'000 + ahead, "b", line(Event::store_down));
+  b += log_line(70'000 + ahead, "b", line(Event::store_up, 10.0));
+  Folder f;
+  for (int i = 0; i < 86; ++i) f.take(0, line(Event::machine_lost, "n-" + std::to_string(i), 4));
+  const auto told = f.tick(10'000);
+  ASSERT_EQ(told.size(), 1U);
+  b += telemetry::json_line(told[0], "2026-03-04T10:01:20.000Z", "b") + "\nnot a line\n{\"time\":3}\n";
+  Story story;
+  std::istringstream first(b), second(a);
+  story.read(first);
+  story.read(second);
+  EXPECT_EQ(story.not_understood(), 2U);
+  const auto clocks = story.clocks();
+  EXPECT_NEAR(static_cast<double>(clocks.at("b") - clocks.at("a")), 3000, 10);
+  const auto text = story.tell();
+  const auto one = text.find("a leads in term 1"), settled = text.find("settled 26.7 s"), two = text.find("b leads in term 2");
+  EXPECT_LT(one, settled) << text;
+  EXPECT_LT(settled, two) << text;
+  EXPECT_NE(text.find("12 tasks found nowhere"), std::string::npos) << text;
+  EXPECT_NE(text.find("lost 86 machines with 344 tasks"), std::string::npos) << text;
+  EXPECT_NE(text.find("did without for 10.0 s"), std::string::npos) << text;
+  EXPECT_NE(text.find("the clock of "), std::string::npos) << text;
+  EXPECT_NE(text.find("2 lines not understood"), std::string::npos) << text;
+}
+
+TEST(Story, OfNothingSaysSo) {
+  Story story;
+  std::istringstream in("\n\n");
+  story.read(in);
+  EXPECT_EQ(story.records(), 0U);
+  EXPECT_EQ(story.tell(), "no lines that could be read\n");
+  EXPECT_EQ(parse_time("yesterday"), -1);
+  EXPECT_EQ(parse_time("1970-01-01T00:00:01.250Z"), 1250);
+}
+
+}  // namespace
+}  // namespace hitchfront::telemetry
