--- a/src/core/store_client.cpp
+++ b/src/core/store_client.cpp
@@ -51,12 +51,14 @@
   if (stopped_ || (lost_ && rank != Rank::lease)) return done(now, 503, {});
   using telemetry::Write;
   txn.each_prefix([&](std::string_view p) {
-    out_.figures().add(telemetry::Count::store_writes, rank == Rank::user                      ? Write::user
-                                                       : p == "prog/"                          ? Write::progress
-                                                       : p == "over/" || p == "live/" ? (txn.writes() > 1 ? Write::final : Write::mark)
-                                                       : p == "roster/"                        ? Write::roster
-                                                       : p == "relay/" || p == "reply/"        ? Write::relay
-                                                                                               : Write::lead);
+    const auto what = rank == Rank::user                      ? Write::user
+                      : p == "prog/"                          ? Write::progress
+                      : p == "over/" || p == "live/" ? (txn.writes() > 1 ? Write::final : Write::mark)
+                      : p == "roster/"                        ? Write::roster
+                      : p == "relay/" || p == "reply/"        ? Write::relay
+                                                              : Write::lead;
+    out_.figures().add(telemetry::Count::store_writes, what);
+    ++written_[static_cast<std::size_t>(what)];
   });
   call(now, rank, Method::post, "/txn", level_ ? txn.body(kLevelKey, *level_) : txn.body(), std::move(done), txn.writes());
 }
@@ -120,10 +122,13 @@
 
 // A number of calls, 200, was a second's worth once; at 700 requests and 90 writes a second for five controllers it was
 // twenty seconds of acceptances, which users wait 5 s for.
+std::size_t StoreClient::room(Rank rank) const {
+  const auto& b = rank == Rank::user && leading_ ? users_ : writes_;
+  return std::max(kStoreQueueLeast, static_cast<std::size_t>(b.rate() * kStoreQueueS));
+}
 bool StoreClient::crowded(Rank rank) const {
   const auto& q = queues_[static_cast<std::size_t>(rank)];
-  const auto over = [](std::size_t n, const Bucket& b) { return static_cast<double>(n) >= std::max<double>(kStoreQueueLeast, b.rate() * kStoreQueueS); };
-  return over(q.reads.size(), requests_) || over(q.writes.size(), rank == Rank::user && leading_ ? users_ : writes_);
+  return q.writes.size() >= room(rank) || q.reads.size() >= std::max(kStoreQueueLeast, static_cast<std::size_t>(requests_.rate() * kStoreQueueS));
 }
 
 void StoreClient::enqueue(Ms now, Rank rank, Waiting w) {
@@ -151,6 +156,14 @@
 }
 
 void StoreClient::pump(Ms now) {
+  if (now >= tell_at_) {
+    tell_at_ = now + kStateMs;
+    const auto& w = written_;
+    if (std::any_of(w.begin(), w.end(), [](auto n) { return n > 0; }))
+      out_.log(Event::store_writes, w[0], w[1], w[2], w[3], w[4], w[5], w[6], writes_waiting(Rank::user),
+               writes_waiting(Rank::first) + writes_waiting(Rank::leader) + writes_waiting(Rank::late));
+    written_ = {};
+  }
   constexpr auto kUser = static_cast<std::size_t>(Rank::user);
   bool writes = true;  // a write of higher rank that waits keeps its tokens from lower ones
   for (std::size_t r = 0; r < queues_.size(); ++r) {
--- a/src/core/store_client.hpp
+++ b/src/core/store_client.hpp
@@ -73,6 +73,8 @@
 
   void lead(bool leading);  // the leader has the larger part of the rates
   void pump(Ms now);
+  std::size_t writes_waiting(Rank rank) const { return queues_[static_cast<std::size_t>(rank)].writes.size(); }
+  std::size_t room(Rank rank) const;  // writes of a rank that a second's worth of the budget holds
   bool crowded(Rank rank) const;  // its calls already wait for a second's worth of the budget
 
  private:
@@ -98,6 +100,8 @@
   Bucket users_;  // what users' writes on the leader's node may take while the leader's own wait
   bool leading_ = false;
   std::deque<std::uint64_t> shunned_;
+  std::array<std::int64_t, 7> written_{};  // by telemetry::Write, since it was last told
+  Ms tell_at_ = 0;
   void answered(Ms now, const Waiting& w, int status);
   struct Queue {
     std::deque<Waiting> reads, writes;
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -87,7 +87,7 @@
 // s of the node's rates that may wait for the store's budget before users are refused, and calls that may in any case:
 // users wait 5 s, and whoever is refused comes again in a second.
 inline constexpr double kStoreQueueS = 1;
-inline constexpr double kStoreQueueLeast = 8;
+inline constexpr std::size_t kStoreQueueLeast = 8;
 // ms between two writes of a job's progress, unless it is over: the tasks that end meanwhile share one.
 inline constexpr std::int64_t kProgressMs = 1000;
 // Items in a page of a range read: job records are under 1 KB, so a page stays far below 512 KiB.
@@ -110,8 +110,15 @@
 inline constexpr std::size_t kMachineTasksMost = 1000;
 
 // --- users --------------------------------------------------------------------------------------
-// s. What a refused user is told to wait.
-inline constexpr int kRetryAfterS = 1;
+// s. What a refused user is told to wait, at the least; at the door up to so much more, so that the refused don't come back
+// together: users take up to 30 s, and come again for 60 s.
+inline constexpr int kRetryAfterS = 1, kRetrySpreadS = 4;
+// ms for which users come again, and refused ids whose first try is remembered for as long: more than a flood of fifty a
+// second leaves in a minute.
+inline constexpr std::int64_t kUsersRetryMs = 60'000;
+inline constexpr std::size_t kDoorRemembered = 4096;
+// Submissions that the door hands to the store's queue ahead of their turn: cancellations wait behind no more.
+inline constexpr std::size_t kDoorAhead = 1;
 // Final answers kept for repeated polls; about 100 bytes each.
 inline constexpr std::size_t kFinalCache = 4000;
 
