--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -15,8 +15,7 @@
 }  // namespace
 
 Front::Front(Outbox& out, StoreClient& store, const Platform& platform, AskCounts ask, rebuild::Copy& copy, std::function<bool(Ms)> sure, std::function<bool(Ms)> heard)
-    : out_(out), store_(store), platform_(platform), ask_(std::move(ask)), view_(store), copy_(copy), sure_(std::move(sure)), heard_(std::move(heard)),
-      door_({kDoorRemembered, kUsersRetryMs, kRetryAfterS, kRetrySpreadS}) {
+    : out_(out), store_(store), platform_(platform), ask_(std::move(ask)), view_(store), copy_(copy), sure_(std::move(sure)), heard_(std::move(heard)) {
   view_.on_record = [this](const std::string& job, const nlohmann::json& value, const wire::LiveRecord& record, std::uint64_t stamp) {
     copy_.live(job, value.dump(), record.withdrawn, record.mark);
     if (on_read) on_read(live_key(job), stamp);
@@ -55,7 +54,7 @@
   if (may_be_new(now, request, known)) out_.reply(request, 404, wire::error_body("no such job"));
 }
 
-void Front::refuse(std::uint64_t request, Refusal why, int status, int retry_after_s) {
+void Front::refuse(std::uint64_t request, Refusal why, int status) {
   const char* text = why == Refusal::busy    ? "busy"
                      : why == Refusal::store ? "the store can't be asked"
                      : why == Refusal::types ? "machine types not known yet"
@@ -63,7 +62,7 @@
                                              : "try again";
   out_.log(Event::request_refused, status, text);
   out_.figures().add(telemetry::Count::refusals, why);
-  out_.reply(request, status, wire::error_body(text), retry_after_s);
+  out_.reply(request, status, wire::error_body(text), kRetryAfterS);
 }
 
 void Front::deny(std::uint64_t request, int status, const wire::BadField& bad) {
@@ -190,30 +189,7 @@
     return deny(request, 400, {"", "description too large"});
   // A process that has just started and has heard nobody may stand before a store that has lost this very job's end.
   if (!heard_(now)) return refuse(request, Refusal::again);
-  admit(now, {request, std::move(record)});
-}
-
-void Front::admit(Ms now, Submission s) {
-  const auto ticket = next_ticket_++;
-  const auto& job = s.record.job;
-  const auto refused = door_.enter(now, ticket, job.id, job.team, job.job_class, store_.room(Rank::user));
-  at_door_.emplace(ticket, std::move(s));
-  if (refused) {
-    const auto it = at_door_.find(refused->ticket);
-    out_.log(Event::door_refused, refused->team, refused->job_class, refused->retry_after_s);
-    refuse(it->second.request, Refusal::busy, 429, refused->retry_after_s);
-    at_door_.erase(it);
-  }
-  let_in(now);
-}
-
-void Front::let_in(Ms now) {
-  while (store_.writes_waiting(Rank::user) < kDoorAhead) {
-    const auto ticket = door_.next();
-    if (!ticket) return;
-    const auto s = std::move(at_door_.extract(*ticket).mapped());
-    accept(now, s.request, s.record.job.id, s.record, true);
-  }
+  accept(now, request, id, record, true);
 }
 
 void Front::accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, bool again) {
@@ -221,7 +197,6 @@
   txn.if_version(live_key(id), 0).if_version(over_key(id), 0).put(live_key(id), wire::encode(record));
   const bool known = copy_.knows(id);
   store_.commit(now, Rank::user, txn, [this, request, id, record, again, known](Ms t, int status, std::string_view) {
-    let_in(t);
     if (status == 200) {
       // Neither unfinished nor over by the store, and known all the same.
       if (known && on_contradiction) {
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -4,10 +4,8 @@
 #include <optional>
 #include <unordered_map>
 
-#include "admission/door.hpp"
 #include "core/live_view.hpp"
 #include "rebuild/copy.hpp"
-#include "settings/constants.hpp"
 #include "settings/platform.hpp"
 #include "wire/cloud.hpp"
 #include "wire/job.hpp"
@@ -39,11 +37,8 @@
   void status(Ms now, std::uint64_t request, const std::string& id);
   void cancel(Ms now, std::uint64_t request, const std::string& id, int tries = 0);
   // The user is to come again; nothing has been decided.
-  void refuse(std::uint64_t request, telemetry::Refusal why, int status = 503, int retry_after_s = settings::kRetryAfterS);
-  void tick(Ms now) {
-    view_.tick(now);
-    let_in(now);
-  }
+  void refuse(std::uint64_t request, telemetry::Refusal why, int status = 503);
+  void tick(Ms now) { view_.tick(now); }
   void refresh(Ms now) { view_.ask(now, {}, [](Ms, bool, const LiveView::Job*) {}); }  // of the copy of unfinished jobs
   void state_lost() { view_.forget(); }
   // What the store says of a job is less than what is known to have been stored: proof that it has lost something.
@@ -64,13 +59,6 @@
   void look_up(Ms now, const std::string& id, std::function<void(Ms, const Found&)> done);
   // `again`: tried once more where it is refused and the job is still unknown.
   void accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, bool again);
-  // Submissions that wait at the door, and who has a turn as far as the store's budget goes.
-  struct Submission {
-    std::uint64_t request = 0;
-    wire::LiveRecord record;
-  };
-  void admit(Ms now, Submission s);
-  void let_in(Ms now);
   void tell_final(std::uint64_t request, const std::string& id, const wire::OverRecord& record);
   void final_status(Ms now, std::uint64_t request, const std::string& id, bool known);
   // For good.
@@ -94,9 +82,6 @@
   std::vector<wire::MachineType> types_;
   std::unordered_map<std::string, wire::OverRecord> final_;
   std::deque<std::string> final_order_;
-  admission::Door door_;
-  std::unordered_map<std::uint64_t, Submission> at_door_;  // by ticket
-  std::uint64_t next_ticket_ = 1;
 };
 
 }  // namespace hitchfront::core
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -110,15 +110,8 @@
 inline constexpr std::size_t kMachineTasksMost = 1000;
 
 // --- users --------------------------------------------------------------------------------------
-// s. What a refused user is told to wait, at the least; at the door up to so much more, so that the refused don't come back
-// together: users take up to 30 s, and come again for 60 s.
-inline constexpr int kRetryAfterS = 1, kRetrySpreadS = 4;
-// ms for which users come again, and refused ids whose first try is remembered for as long: more than a flood of fifty a
-// second leaves in a minute.
-inline constexpr std::int64_t kUsersRetryMs = 60'000;
-inline constexpr std::size_t kDoorRemembered = 4096;
-// Submissions that the door hands to the store's queue ahead of their turn: cancellations wait behind no more.
-inline constexpr std::size_t kDoorAhead = 1;
+// s. What a refused user is told to wait.
+inline constexpr int kRetryAfterS = 1;
 // Final answers kept for repeated polls; about 100 bytes each.
 inline constexpr std::size_t kFinalCache = 4000;
 
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -107,8 +107,6 @@
        "the stored state has been lost for so long, and this node serves nobody; it waits for `a leader`, or for the rebuild by the leader that is named"},
       {E::served_low, "served.low", Level::error, false, {{"by", K::text}, {"name", K::text}, {"share", K::number}, {"waiting", K::integer}, {"oldest_s", K::number}, {"accepted", K::integer}},
        "for a minute and more fewer than half of this class's or team's jobs that are over, or have waited for two minutes, were started; told each minute while it lasts"},
-      {E::door_refused, "door.refused", Level::info, true, {{"team", K::text, R::counted}, {"class", K::text, R::counted}, {"retry_after_s", K::integer}},
-       "more was submitted here than may be stored: this team, and of its classes this one, had the longest line"},
       {E::rebuild_given_up, "rebuild.given_up", Level::info, false, {{"why", K::text}, {"answer", K::text}},
        "this leader's rebuild is refused by the store and it gives up the lead; the next leader begins anew"},
       {E::cloud_down, "cloud.down", Level::info, false, {{"status", K::integer}},
--- a/src/telemetry/events.hpp
+++ b/src/telemetry/events.hpp
@@ -42,7 +42,6 @@
   state_recovered,
   state_waits,
   served_low,
-  door_refused,
   rebuild_given_up,
   cloud_down,
   cloud_up,
