--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -324,7 +324,7 @@
     return out_.reply(request, 421, wire::redirect(relay_.home(now, *report)));
   }
   if (levels_.unsupported()) return out_.reply(request, 503, wire::error_body("not this node"));
-  if (parked_.size() >= kRelayMachines) return out_.reply(request, 503, wire::error_body("no leader"));
+  if (parked_.size() >= std::max(kRelayMachines, static_cast<std::size_t>(platform_.max_connections))) return out_.reply(request, 503, wire::error_body("no leader"));
   parked_.push_back({request, std::string(body), until});
 }
 
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -77,7 +77,7 @@
   std::erase(fleet_, it->second.get());
   machines_.erase(it);
   if (tombstones_.insert(name).second) tombstone_order_.push_back(name);
-  if (tombstone_order_.size() > kTombstones) {
+  if (tombstone_order_.size() > std::max(kTombstones, static_cast<std::size_t>(platform_.max_connections))) {
     tombstones_.erase(tombstone_order_.front());
     tombstone_order_.pop_front();
   }
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -324,9 +324,10 @@
   if (!pending_.empty() && !unsent_.empty()) flush_store(now);
   if (!pending_.empty() && batch_open_ && !watching_replies_) watch_replies(now);
   // Machines come and go; only recent ones matter.
-  if (redirected_.size() > kRelayMachines) std::erase_if(redirected_, [&](const auto& x) { return now - x.second > kBouncedMs; });
-  if (welcomed_.size() > kRelayMachines) std::erase_if(welcomed_, [&](const auto& x) { return now - x.second > kBouncedMs; });
-  if (relaying_.size() > kRelayMachines) std::erase_if(relaying_, [&](const auto& x) { return now - x.second > kRelayMs; });
+  const auto many = std::max(kRelayMachines, static_cast<std::size_t>(platform_.max_connections));
+  if (redirected_.size() > many) std::erase_if(redirected_, [&](const auto& x) { return now - x.second > kBouncedMs; });
+  if (welcomed_.size() > many) std::erase_if(welcomed_, [&](const auto& x) { return now - x.second > kBouncedMs; });
+  if (relaying_.size() > many) std::erase_if(relaying_, [&](const auto& x) { return now - x.second > kRelayMs; });
 }
 
 }  // namespace hitchfront::core
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -176,7 +176,8 @@
 inline constexpr std::int64_t kRelayTimeoutMs = 3000;
 // bytes of reports in one value, below the smallest value limit.
 inline constexpr std::size_t kRelayValueMost = 6000;
-// Machines remembered by a relay before it looks for old entries.
+// Machines remembered by a relay before it looks for old entries, and reports kept while nobody leads: these at the least, and
+// as many as the settings allow connections, for a larger fleet.
 inline constexpr std::size_t kRelayMachines = 500;
 // ms. What a controller promises when the leader asks: not to take over for this long. Six chances to
 // renew it; and as long a wait after a start, for a promise made before a crash is forgotten.
@@ -214,7 +215,8 @@
 // s. Idle machines are kept for this long times (ordinary price / own price) squared, less one: nothing
 // for ordinary machines, longer the cheaper a spot machine is.
 inline constexpr double kKeepS = 4;
-// Names of returned machines remembered, so that stale lists and late reports do not revive them.
+// Names of returned machines remembered, so that stale lists and late reports do not revive them; as many as the settings
+// allow connections, where that is more.
 inline constexpr std::size_t kTombstones = 2000;
 // Failures of jobs that complete elsewhere from which a machine is blamed, unless it completed this many times
 // as many tasks since the first of them; and machines on which a job fails, completing nowhere, before the job is.
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -99,6 +99,8 @@
   final_state(id, state);
 }
 
+constexpr std::int64_t kTimeForAllMs = 100'000;
+
 // ---- the world -----------------------------------------------------------------------------------
 
 settings::Platform test_platform(int nodes, const std::vector<std::string>& zones) {
@@ -687,6 +689,24 @@
     if (now_ % 100 == 0) check_levels();
     if (now_ > s_.run_ms && finished == accepted && unfinished().empty()) break;
   }
+  // A failed day, where there was time for all that was accepted.
+  if (s_.settle_ms >= kTimeForAllMs)
+    for (const auto& who : unserved()) judge.blame("served", who);
+}
+
+std::vector<std::string> World::unserved() const {
+  std::map<std::string, std::pair<double, double>> served;  // done, of
+  for (const auto& [id, job] : judge.jobs) {
+    if (!job.accepted || job.cancel_asked || job.mistaken || job.spec.form == wire::Form::service) continue;
+    for (const auto& name : {"class " + job.spec.job_class, "team " + job.spec.team}) {
+      served[name].first += job.done.size() == job.spec.tasks ? 1 : 0;
+      served[name].second += 1;
+    }
+  }
+  std::vector<std::string> out;
+  for (const auto& [name, n] : served)
+    if (n.first < 0.5 * n.second) out.push_back(name + ": " + std::to_string(static_cast<int>(n.first)) + " of " + std::to_string(static_cast<int>(n.second)));
+  return out;
 }
 
 wire::Level World::level() const {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -115,6 +115,8 @@
   std::size_t leases_lost = 0;             // workers' sessions that ended with their lease
   std::size_t busy_returned = 0;           // machines returned with tasks on them
   std::vector<std::string> unfinished() const;
+  // Classes and teams of which fewer than half of the jobs that were accepted and not cancelled are done.
+  std::vector<std::string> unserved() const;
   std::vector<std::string> log;
   std::int64_t now() const { return now_; }
   core::Controller* leader();
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -303,6 +303,35 @@
 }
 
 // A machine on which every task fails is found and returned, mistaken jobs or not.
+// A core that starts nothing of one team's keeps every other rule, and is a failed day all the same.
+TEST(Judge, SeesATeamThatIsNotServed) {
+  Scenario s;
+  s.seed = 9;
+  s.run_ms = 60'000;
+  s.settle_ms = 100'000;
+  World* world = nullptr;
+  s.saboteur = [&world](std::int64_t, int, core::Effects& e) {
+    for (auto& r : e.replies) {
+      auto body = nlohmann::json::parse(r.body, nullptr, false);
+      if (!body.is_object() || !body.contains("Orders")) continue;
+      auto kept = nlohmann::json::array();
+      for (const auto& order : body["Orders"]) {
+        const auto lot = order.value("Lot", "");
+        const auto job = world->judge.jobs.find(lot.substr(0, lot.find('/')));
+        if (order.value("Verb", "") != "launch" || job == world->judge.jobs.end() || job->second.spec.team != "blue") kept.push_back(order);
+      }
+      body["Orders"] = kept;
+      r.body = body.dump();
+    }
+  };
+  World w(s);
+  world = &w;
+  w.run();
+  EXPECT_EQ(w.judge.broken, std::set<std::string>{"served"}) << report(w);
+  ASSERT_FALSE(w.unserved().empty());
+  EXPECT_TRUE(w.unserved().back().starts_with("team blue: 0 of "));
+}
+
 TEST(Blame, AFaultyMachineIsReturned) {
   Scenario s;
   s.seed = 22;
