Store client: one bound for both of a queue's halves, one look at the shunned numbers

Need: read once more. The bound of a second's worth stood twice, the search of shunned lease numbers too, and what the door used was still public.

--- a/src/core/store_client.cpp
+++ b/src/core/store_client.cpp
@@ -88,7 +88,7 @@
   enqueue(now, rank, {std::move(c), std::move(done), writes, 0, 0});
 }
 void StoreClient::shun(std::uint64_t lease) {
-  if (std::find(shunned_.begin(), shunned_.end(), lease) != shunned_.end()) return;
+  if (is_shunned(lease)) return;
   shunned_.push_back(lease);
   if (shunned_.size() > kShunned) shunned_.pop_front();
 }
@@ -102,7 +102,7 @@
   w.raw = true;
   w.done = [this, ttl_ms, epoch = epoch_, done = std::move(done)](Ms t, int status, std::string_view body) {
     const auto lease = status == 200 ? wire::parse_lease(body) : std::nullopt;
-    const bool shunned = lease && std::find(shunned_.begin(), shunned_.end(), *lease) != shunned_.end();
+    const bool shunned = lease && is_shunned(*lease);
     if (lease && epoch == epoch_ && !shunned) return done(t, lease);
     // Asked for before a loss that is known by now, it may have been given after it: nobody would end it, and a leader of
     // before may renew it for its own.
@@ -122,13 +122,12 @@
 
 // A number of calls, 200, was a second's worth once; at 700 requests and 90 writes a second for five controllers it was
 // twenty seconds of acceptances, which users wait 5 s for.
-std::size_t StoreClient::room(Rank rank) const {
-  const auto& b = rank == Rank::user && leading_ ? users_ : writes_;
-  return std::max(kStoreQueueLeast, static_cast<std::size_t>(b.rate() * kStoreQueueS));
-}
 bool StoreClient::crowded(Rank rank) const {
   const auto& q = queues_[static_cast<std::size_t>(rank)];
-  return q.writes.size() >= room(rank) || q.reads.size() >= std::max(kStoreQueueLeast, static_cast<std::size_t>(requests_.rate() * kStoreQueueS));
+  const auto over = [](const std::deque<Waiting>& calls, const Bucket& b) {
+    return calls.size() >= std::max(kStoreQueueLeast, static_cast<std::size_t>(b.rate() * kStoreQueueS));
+  };
+  return over(q.writes, rank == Rank::user && leading_ ? users_ : writes_) || over(q.reads, requests_);
 }
 
 void StoreClient::enqueue(Ms now, Rank rank, Waiting w) {
--- a/src/core/store_client.hpp
+++ b/src/core/store_client.hpp
@@ -1,5 +1,6 @@
 // Access to the state service within this node's part of its request rates.
 #pragma once
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <functional>
@@ -73,8 +74,6 @@
 
   void lead(bool leading);  // the leader has the larger part of the rates
   void pump(Ms now);
-  std::size_t writes_waiting(Rank rank) const { return queues_[static_cast<std::size_t>(rank)].writes.size(); }
-  std::size_t room(Rank rank) const;  // writes of a rank that a second's worth of the budget holds
   bool crowded(Rank rank) const;  // its calls already wait for a second's worth of the budget
 
  private:
@@ -91,6 +90,8 @@
   void enqueue(Ms now, Rank rank, Waiting w);
   bool send_next(Ms now, std::size_t rank, bool writes);
   bool waits(std::size_t rank, Ms now) const;
+  std::size_t writes_waiting(Rank rank) const { return queues_[static_cast<std::size_t>(rank)].writes.size(); }
+  bool is_shunned(std::uint64_t lease) const { return std::find(shunned_.begin(), shunned_.end(), lease) != shunned_.end(); }
   void send(Ms now, Rank rank, Waiting w);
 
   Outbox& out_;
@@ -105,7 +106,6 @@
   void answered(Ms now, const Waiting& w, int status);
   struct Queue {
     std::deque<Waiting> reads, writes;
-    const std::deque<Waiting>& of(bool w) const { return w ? writes : reads; }
     std::deque<Waiting>& of(bool w) { return w ? writes : reads; }
   };
   std::array<Queue, 6> queues_;
