--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -8,6 +8,7 @@
 using Rank = StoreClient::Rank;
 namespace {
 constexpr const char* kTypesKey = "flavors";
+constexpr const char* kMovedTypesKey = "rigs";
 constexpr Ms kAskMs = 300;      // users wait 2 s for a poll; counts are for display only
 constexpr Ms kTypesRetryMs = 1000;
 constexpr std::string_view kWork = "/work/";
@@ -45,8 +46,10 @@
     leader_ = std::make_unique<Leader>(out_, store_, leadership_, levels_, platform_, operator_, random_(), wall_minus_steady_);
     leader_->set_step_rate(step_rate_);
     leader_->on_marked = [this](const wire::LiveRecord& record) {
-      if (levels_.level().generation != 0) front_.marked(record.job.id, record);
+      if (levels_.heeds()) front_.marked(record.job.id, record);
     };
+    types_form_ = 0;
+    leader_->other_forms = [this] { return types_form_ == levels_.level().active ? 0U : 1U; };
     if (!types_.empty()) leader_->set_types(types_);
     leader_->begin(now, levels_.lost());
     if (levels_.lost()) {
@@ -56,6 +59,7 @@
         relay_.lead(t);
         if (leader_) leader_->load(t);
       });
+      rebuilder_->on_deposed = [this](Ms t, const char* why) { leadership_.resign(t, why); };
       rebuilder_->start(now);
     }
     relay_.lead(now);
@@ -73,7 +77,7 @@
   front_.on_contradiction = copies_.on_contradiction = [this](Ms now) { levels_.behind(now, "record"); };
   front_.on_read = [this](const std::string& key, std::uint64_t stamp) { copies_.saw(key, stamp); };
   front_.on_told = [this](const rebuild::Copy& told) {
-    if (levels_.level().generation == 0) return;
+    if (!levels_.heeds()) return;
     wire::PeerMessage m;
     m.kind = wire::PeerMessage::Kind::copy_part;
     m.text = told.encode(kCopyPart).front();
@@ -82,11 +86,13 @@
       if (member.said && member.said->to >= kLineageLevel) out_.peer(node, bytes);
   };
   levels_.on_recovered = [this](Ms) {
+    types_form_ = 0;
     leadership_.state_rebuilt();
     front_.state_lost();
     copies_.forget();
   };
   leadership_.on_behind = [this](Ms now, const char* what) { levels_.behind(now, what); };
+  leadership_.deaf = [this](const std::string& node) { return levels_.deaf(node); };
   leadership_.heard_all = [this](Ms now) { return levels_.heard_all(now); };
   leadership_.on_lost = [this](Ms) {
     if (leader_) leader_->resign();
@@ -132,10 +138,15 @@
   }
   leadership_.tick(now);
   if (rebuilder_) rebuilder_->tick(now);
+  levels_.tell_wait(now, leadership_.leader());
   if (!levels_.lost()) {
     if (now >= next_types_) fetch_types(now);
+    if (leader_ && types_form_ != levels_.level().active && now >= store_types_at_) {
+      store_types_at_ = now + kTypesRetryMs;
+      store_types(now);
+    }
     front_.tick(now);
-    if (levels_.level().generation != 0) {
+    if (levels_.heeds()) {
       copies_.tick(now);
       if (now >= next_refresh_) {
         next_refresh_ = now + kCopyMs;
@@ -180,39 +191,60 @@
   next_types_ = now + (types_.empty() ? kTypesRetryMs : kTypesMs);
   if (fetching_types_) return;
   fetching_types_ = true;
-  const auto from_store = [this](Ms t, int status, std::string_view body) {
-    fetching_types_ = false;
-    if (status != 200) return;
-    auto item = wire::parse_item(body);
-    if (!item) return;
-    if (auto types = wire::parse_types(item->value)) use_types(t, std::move(*types));
-  };
-  if (!leadership_.leading()) {
-    store_.get(now, Rank::low, kTypesKey, from_store);
-    return;
-  }
+  if (!leadership_.leading()) return read_types(now);
   HttpCall c;
   c.target = Target::cloud;
   c.path = "/flavors";
   c.timeout_ms = kCloudTimeoutMs;
-  out_.call(std::move(c), [this, from_store](Ms t, int status, std::string_view body) {
+  out_.call(std::move(c), [this](Ms t, int status, std::string_view body) {
     auto json = nlohmann::json::parse(body, nullptr, false);
     auto types = status == 200 && json.is_object() ? wire::parse_types(json) : std::nullopt;
-    if (!types) {
-      if (types_.empty()) return store_.get(t, Rank::low, kTypesKey, from_store);
-      fetching_types_ = false;
-      return;
-    }
+    if (!types && types_.empty()) return read_types(t);
     fetching_types_ = false;
-    auto text = wire::encode(*types);
+    if (!types) return;
     use_types(t, std::move(*types));
-    if (text == types_text_ || !leadership_.leading()) return;
-    types_text_ = text;
-    wire::Txn txn;
-    txn.if_version("leader", leadership_.key_version()).put(kTypesKey, text);
-    store_.commit(t, Rank::low, txn, [this](Ms, int s, std::string_view) {
-      if (s != 200) types_text_.clear();  // stored with the next read
+    store_types(t);
+  });
+}
+
+// Under the key of the active level first: right after a switch they may still stand under the other.
+void Controller::read_types(Ms now) {
+  const bool moved = levels_.level().active >= kTypesLevel;
+  const auto read = [this](Ms t, const char* key, std::function<void(Ms)> otherwise) {
+    store_.get(t, Rank::low, key, [this, otherwise = std::move(otherwise)](Ms t2, int status, std::string_view body) {
+      const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
+      auto types = item ? wire::parse_types(item->value) : std::nullopt;
+      if (types && !types->empty()) {
+        fetching_types_ = false;
+        return use_types(t2, std::move(*types));
+      }
+      otherwise(t2);
     });
+  };
+  const auto give_up = [this](Ms) { fetching_types_ = false; };
+  if (!levels_.heeds()) return read(now, kTypesKey, give_up);
+  read(now, moved ? kMovedTypesKey : kTypesKey, [read, moved, give_up](Ms t) { read(t, moved ? kTypesKey : kMovedTypesKey, give_up); });
+}
+
+void Controller::store_types(Ms now) {
+  const auto& level = levels_.level();
+  const auto text = wire::encode(types_);
+  if (types_.empty() || storing_types_ || !leadership_.leading() || (text == types_text_ && types_form_ == level.active)) return;
+  wire::Txn txn;
+  txn.if_version("leader", leadership_.key_version());
+  // A version from before levels that finds an empty list there is not healthy, and has no users to tell 404 of what it
+  // does not know: it heeds no loss. One that runs reads it again within a minute.
+  if (level.active >= kTypesLevel)
+    txn.put(kMovedTypesKey, text).put(kTypesKey, wire::encode(std::vector<wire::MachineType>{}));
+  else
+    txn.put(kTypesKey, text);
+  if (level.active < kTypesLevel && level.high >= kTypesLevel) txn.drop(kMovedTypesKey);
+  storing_types_ = true;
+  store_.commit(now, Rank::leader, txn, [this, text, form = level.active, term = leadership_.term()](Ms, int status, std::string_view) {
+    storing_types_ = false;
+    if (status != 200 || term != leadership_.term()) return;  // again with the next look
+    types_text_ = text;
+    types_form_ = form;
   });
 }
 
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -46,6 +46,8 @@
   void begin(Ms now);  // once this process may serve
   void fetch_types(Ms now);
   void use_types(Ms now, std::vector<wire::MachineType> types);
+  void read_types(Ms now);   // from the store
+  void store_types(Ms now);  // by the leader, where they don't stand there as they should
   void ask_counts(Ms now, const std::string& id, std::function<void(Ms, std::optional<Front::Counts>)> done);
 
   settings::Platform platform_;
@@ -74,9 +76,10 @@
   std::int64_t wall_minus_steady_ = 0;
   double step_rate_ = 2000;
   std::vector<wire::MachineType> types_;
-  std::string types_text_;  // as stored
-  Ms next_types_ = 0;
-  bool fetching_types_ = false;
+  std::string types_text_;        // as stored in this term
+  std::uint32_t types_form_ = 0;  // and under which level; 0: not stored in this term
+  Ms next_types_ = 0, store_types_at_ = 0;
+  bool fetching_types_ = false, storing_types_ = false;
 
   struct Asked {
     Ms until = 0;
--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -143,7 +143,7 @@
     status = word(*f.over);
   else if (f.live->withdrawn)
     status = wire::kWithdrawn;
-  else if (f.live->mark > 0)
+  else if (f.live->mark > 0 && f.live->job.tasks > 1)
     status = wire::kRunning;
   out_.reply(request, 200, wire::job_status(id, status));
 }
@@ -176,7 +176,10 @@
     return answer_known(request, id, f);
   }
 
-  wire::LiveRecord record{std::move(*parsed.job), wall_ms, false, 0};
+  // A job of one task counts as launched from the start, which saves a third of its leader's writes. A mark may be too
+  // high, never too low: where no roster can be believed, its task is in doubt though it may never have been launched.
+  const std::uint32_t mark = parsed.job->tasks == 1 ? 1 : 0;
+  wire::LiveRecord record{std::move(*parsed.job), wall_ms, false, mark};
   const std::string value = wire::encode(record);
   if (value.size() > platform_.state_value_kb * 1024)
     return deny(request, 400, {"", "description too large"});
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -1,5 +1,6 @@
 // Jobs as the leader knows them: which tasks wait, may be somewhere, or are done.
 #pragma once
+#include <algorithm>
 #include <deque>
 #include <string>
 #include <unordered_map>
@@ -46,6 +47,8 @@
   std::vector<wire::ProgressForm> chunk_form;  // as stored, where chunk_version is not 0
   bool writing = false, resync = false;
   Ms write_after = 0;
+  bool ran = false;    // a task of it was seen running, or is done
+  Ms progress_at = 0;  // the next write of progress, at the earliest
 
   Ms not_before = 0;  // pause after failures
   double run_sum_s = 0;
@@ -67,6 +70,7 @@
   std::size_t of_other_form(wire::ProgressForm form) const;
   std::string chunk_key(std::size_t chunk) const;
   std::size_t chunks() const { return chunk_version.size(); }
+  bool progress_waits() const { return std::find(chunk_dirty.begin(), chunk_dirty.end(), true) != chunk_dirty.end(); }
 };
 
 }  // namespace hitchfront::core
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -40,6 +40,7 @@
                kRosterSoonMs}),
       zones_(platform.zones),
       cloud_(platform.cloud_rps * kStoreShare, platform.cloud_rps),
+      served_({kServedNames, kServedDueMs, kServedFadeMs, kServedShare, kServedLowMs}),
       selector_(seed + 1, kLambda, admitted(op)) {
   for (const auto& t : platform.teams)
     teams_.push_back({t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max, 0, 0});
@@ -102,7 +103,10 @@
   take_roster(now);
   std::size_t doubt = 0, machines = 0, placed = 0;
   for (auto& [id, job] : jobs_) {
-    if (job->done > 0) blame_.proved(job->index);
+    if (job->done > 0) {
+      blame_.proved(job->index);
+      began_to_run(*job);
+    }
     placed += job->placed;
     doubt += job->doubt;
     if (leadership_.roster_whole()) continue;
@@ -141,6 +145,7 @@
   job->prepare(zones_.size());
   resolve(*job);
   auto* p = job.get();
+  served_.accepted(p->spec.job_class, p->spec.team);
   jobs_[id] = std::move(job);
   dirty_ = true;
   return p;
@@ -225,10 +230,11 @@
   }
 }
 
-void Leader::remove_job(Ms, const std::string& id) {
+void Leader::remove_job(Ms now, const std::string& id) {
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   auto& job = *it->second;
+  served_.over(now, job.spec.job_class, job.spec.team, job.withdrawn, job.ran);
   for (auto* m : fleet_)
     for (auto p = m->tasks.lower_bound({job.index, 0}); p != m->tasks.end() && p->first.first == job.index;) {
       auto next = std::next(p);
@@ -334,6 +340,31 @@
   f.set(Gauge::machines, leaving, 3);
   f.set(Gauge::doubt, doubt + unheard);
   f.set(Gauge::held, held);
+  for (const auto& r : served_.rows()) {
+    const auto tell = [&](const char* state, double v) { f.served(telemetry::name(r.by), r.name, state, v); };
+    tell("accepted", r.accepted);
+    tell("started", r.started);
+    tell("done", r.done);
+    tell("withdrawn", r.withdrawn);
+    tell("waiting", static_cast<double>(r.waiting));
+    tell("oldest_s", r.oldest_s);
+    tell("share", r.share);
+  }
+}
+
+void Leader::began_to_run(JobState& job) {
+  if (!std::exchange(job.ran, true)) served_.started(job.spec.job_class, job.spec.team);
+}
+
+// Nobody looks at night whether some class or team gets nothing at all.
+void Leader::tell_served(Ms now) {
+  if (now < next_served_) return;
+  next_served_ = now + kStateMs;
+  std::vector<telemetry::Served::Open> open;
+  open.reserve(jobs_.size());
+  for (const auto& [id, job] : jobs_)
+    if (!job->withdrawn) open.push_back({job->spec.job_class, job->spec.team, job->ran, now - job->seen});
+  for (const auto& r : served_.look(now, open)) log(Event::served_low, telemetry::name(r.by), r.name, r.share, r.waiting, r.oldest_s, r.accepted);
 }
 
 // What a stall looks like from inside, five seconds apart.
@@ -386,7 +417,9 @@
   }
   std::vector<std::string> unwritten;
   for (const auto& [id, job] : jobs_)
-    if (!job->writing && (job->resync || job->write_after != 0) && now >= job->write_after) unwritten.push_back(id);
+    if (!job->writing && now >= job->write_after &&
+        (job->resync || job->write_after != 0 || (now >= job->progress_at && job->progress_waits())))
+      unwritten.push_back(id);
   for (const auto& id : unwritten)
     if (auto* job = find(id)) {
       job->write_after = 0;
@@ -409,6 +442,7 @@
   cloud_round(now);
   select(now);
   tell_state(now);
+  tell_served(now);
 }
 
 JobState* Leader::find(const std::string& id) {
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -21,6 +21,7 @@
 #include "roster/roster.hpp"
 #include "settings/expression.hpp"
 #include "settings/platform.hpp"
+#include "telemetry/served.hpp"
 #include "wire/cloud.hpp"
 #include "wire/roster.hpp"
 #include "wire/worker.hpp"
@@ -58,6 +59,7 @@
   // A job's launch mark was stored; before any launch beyond it.
   std::function<void(const wire::LiveRecord& record)> on_marked;
   void gauge(Ms now) const;  // sets the gauges of the figures
+  std::function<std::size_t()> other_forms;  // values that others keep and that are not of the active level's form yet
 
  private:
   enum class Stage : std::uint8_t { assigned, sent, fetching, running, saving };
@@ -211,6 +213,8 @@
   std::string describe(const roster::Names& machines, std::uint64_t batch);
   void settle(Ms now);
   void tell_state(Ms now);
+  void tell_served(Ms now);
+  void began_to_run(JobState& job);
 
   // store
   void persist(Ms now, JobState& job);
@@ -281,6 +285,8 @@
   Ms cloud_down_since_ = 0;  // 0: it can be used
 
   Blame blame_;
+  telemetry::Served served_;
+  Ms next_served_ = 0;
   portfolio::Params params_;
   portfolio::Selector selector_;
   portfolio::Predictor predictor_;
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -178,6 +178,7 @@
     if (t.state != wire::TaskState::fetching && t.state != wire::TaskState::saving && p.run_since == 0 &&
         p.stage != Stage::assigned) {
       p.run_since = now;
+      began_to_run(*job);
       if (p.sent_seq != 0) out_.figures().observe(telemetry::Spread::start_s, static_cast<double>(now - job->seen) / 1000,
                              static_cast<std::size_t>(job->spec.priority));
     }
@@ -199,6 +200,7 @@
   if (job.phase[task] == TaskPhase::done) return;
   if (job.phase[task] == TaskPhase::doubt) count_team(job, -1);
   job.set(task, TaskPhase::done);
+  began_to_run(job);
   out_.figures().add(telemetry::Count::completions);
   job.not_before = 0;
   const auto* failed_on = blame_.is_proved(job.index) ? nullptr : blame_.failed_on(job.index);
--- a/src/core/leader_store.cpp
+++ b/src/core/leader_store.cpp
@@ -14,7 +14,8 @@
   if (!job.withdrawn && job.complete()) return finish(now, job);
   if (job.withdrawn && job.empty()) return finish(now, job);
   std::vector<std::size_t> chunks;
-  for (std::size_t c = 0; c < job.chunks(); ++c)
+  // One write for each task that ends took most of what a fleet may write; until then the worker goes on listing it.
+  for (std::size_t c = 0; c < job.chunks() && now >= job.progress_at; ++c)
     if (job.chunk_dirty[c] && static_cast<int>(chunks.size()) < platform_.state_txn_ops - 1) chunks.push_back(c);
   const bool mark = job.mark_wanted > job.mark && !job.withdrawn;
   if (chunks.empty() && !mark) return;
@@ -33,7 +34,9 @@
       if (job.phase[t] == TaskPhase::done && !job.stored[t]) written.push_back(t);
   }
   job.writing = true;
-  store_.commit(now, Rank::leader, txn,
+  if (!chunks.empty()) job.progress_at = now + kProgressMs;
+  const auto rank = job.team >= 0 && is_guest(job) ? Rank::late : mark ? Rank::first : Rank::leader;
+  store_.commit(now, rank, txn,
                 mine([this, id = job.spec.id, index = job.index, chunks, written, mark, marked, form](
                          Ms t, int status, std::string_view body) {
     auto* j = find(id);
@@ -78,7 +81,7 @@
   for (std::size_t c = 0; c < job.chunks() && txn.writes() < platform_.state_txn_ops; ++c)
     if (job.chunk_version[c] != 0) txn.drop(job.chunk_key(c));
   job.writing = true;
-  store_.commit(now, Rank::leader, txn,
+  store_.commit(now, job.team >= 0 && is_guest(job) ? Rank::late : Rank::leader, txn,
                 mine([this, id, index = job.index, withdrawn = job.withdrawn](Ms t, int status, std::string_view) {
     auto* j = find(id);
     if (j == nullptr || j->index != index) return;
@@ -115,6 +118,7 @@
       again.push_back(job.get());
     }
     for (auto* job : again) persist(now, *job);
+    if (other_forms) left += other_forms();
   }
   levels_.advance(now, term_, leader_version_, left);
 }
--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -132,6 +132,11 @@
     contend_at_ = 0;
     contend(now);
   }
+  // A watch from before a loss may be held by a store that has gone behind its revision.
+  if (state_lost_ && !leading_ && now >= loss_read_at_) {
+    loss_read_at_ = now + kLossLookMs;
+    read(now);
+  }
   if (leading_ && now >= next_touch_) touch(now);
   if (leading_ && distrust_at_ != 0 && now >= distrust_at_) {
     distrust_at_ = 0;
@@ -206,6 +211,17 @@
   term_ = term;
   version_ = version;
   contend_at_ = 0;
+  if (node != node_ && deaf && deaf(node)) {
+    if (lease == 0) return read(now);  // the watch does not tell it
+    // A store that has lost something gives out numbers again, and a leader that heeds no loss would go on by the renewals
+    // of somebody else's lease: found as tasks that ran twice, since it kept their workers' leases alive for good.
+    store_.shun(lease);
+    if (!state_lost_) return;
+    // It leads on such a state, and will never know: with its lease its key goes. Workers must not be sent there either.
+    leader_.clear();
+    store_.call(now, Rank::lease, Method::del, wire::end_path(lease), {}, [this](Ms t, int, std::string_view) { read(t); });
+    return;
+  }
   // Our own name on a lease that we don't hold: a former process of ours, which is dead, or a
   // takeover that was given up. Nobody acts under it, so it can end at once.
   if (node == node_ && lease != 0) {
@@ -247,12 +263,11 @@
   }
   contending_ = true;
   lease_sent_ = now;
-  store_.call(now, Rank::lease, Method::post, "/holds", wire::hold_body(kLeaderTtlMs),
-              [this](Ms t, int status, std::string_view body) {
-    auto lease = status == 200 ? wire::parse_lease(body) : std::nullopt;
+  store_.hold(now, static_cast<std::uint32_t>(kLeaderTtlMs), [this](Ms t, std::optional<std::uint64_t> lease) {
     if (!lease) return end_contest(t);
     lease_ = *lease;
-    store_.get(t, Rank::lease, kTermKey, [this](Ms t2, int status2, std::string_view body2) {
+    // What was known when it was asked: a term that was taken meanwhile proves nothing.
+    store_.get(t, Rank::lease, kTermKey, [this, known = std::max(known_term_, term_)](Ms t2, int status2, std::string_view body2) {
       std::uint64_t term = 0, version = 0;
       if (status2 == 200) {
         auto item = wire::parse_item(body2);
@@ -264,7 +279,7 @@
         return end_contest(t2);
       }
       known_term_ = std::max(known_term_, term_);
-      if (term < known_term_ && !state_lost_ && on_behind) on_behind(t2, "term");
+      if (term < known && !state_lost_ && on_behind) on_behind(t2, "term");
       if (state_lost_) return take_over(t2, std::max(term, known_term_) + 1, version, false);
       if (version == 0) return take_over(t2, 1, 0, roster_);  // nobody ever led, and nothing was ever launched
       store_.get(t2, Rank::lease, kLedKey, [this, term, version](Ms t3, int status3, std::string_view body3) {
--- a/src/core/leadership.hpp
+++ b/src/core/leadership.hpp
@@ -58,6 +58,8 @@
   // until it is rebuilt a takeover believes neither the stored term nor the roster.
   void state_lost(Ms now);
   void state_rebuilt() { state_lost_ = false; }
+  // This controller heeds no loss: if it leads in one, nothing is rebuilt. It is unseated then (docs/safety.md).
+  std::function<bool(const std::string& node)> deaf;
   // A worker has heard of this term, or another controller has.
   void knows_term(std::uint64_t term) { known_term_ = std::max(known_term_, term); }
   // A term that is stored is below one that is known: a loss.
@@ -97,6 +99,7 @@
   const bool roster_;
   const wire::Level* const level_;
   std::uint64_t known_term_ = 0;
+  Ms loss_read_at_ = 0;
   bool state_lost_ = false;
   bool roster_whole_ = false, distrusting_ = false;
   bool first_ever_ = false, former_ours_ = false, probing_ = false;
--- a/src/core/levels.cpp
+++ b/src/core/levels.cpp
@@ -50,7 +50,7 @@
 void Levels::heard(Ms now, const std::string& node, std::string_view text) {
   const auto sign = mine_.announces ? wire::decode_sign(node, text) : std::nullopt;
   members_.heard(now, node, sign ? std::optional(sign->said) : std::nullopt);
-  if (!sign || sign->generation == 0 || mine_.to < kLineageLevel) return;
+  if (!sign || sign->said.to < kLineageLevel || !heeds()) return;
   peer_generation_ = std::max(peer_generation_, sign->generation);
   if (sign->lost && sign->generation >= level_.generation && !lost_) {
     lost_generation_ = sign->generation;
@@ -65,9 +65,14 @@
 // ---- a loss -----------------------------------------------------------------------------------------
 
 void Levels::losing(Ms now, const char* why) {
-  lost_ = true;
   lost_generation_ = std::max(lost_generation_, level_.generation);
-  before_ = level_;
+  if (std::exchange(lost_, true)) {
+    knew(level_);  // lost once more before it was rebuilt
+  } else {
+    before_ = level_;
+    lost_since_ = now;
+    next_wait_ = now + kLossTellMs;
+  }
   stamp_ = 0;
   out_.log(Event::state_lost, lost_generation_, why);
   if (on_loss) on_loss(now);
@@ -76,9 +81,8 @@
 }
 
 void Levels::behind(Ms now, const char* why) {
-  const auto generation = std::max(level_.generation, peer_generation_);
-  if (generation == 0 || lost_ || mine_.to < kLineageLevel) return;
-  lost_generation_ = generation;
+  if (lost_ || !heeds()) return;
+  lost_generation_ = std::max(level_.generation, peer_generation_);
   store_.lose(now, why);
 }
 
@@ -87,6 +91,22 @@
   return std::all_of(members_.all().begin(), members_.all().end(), [](const auto& m) { return m.second.heard_at.has_value(); });
 }
 
+std::string Levels::new_lineage(std::int64_t since_s) const { return std::to_string(self_.life) + "-" + std::to_string(since_s); }
+
+bool Levels::deaf(const std::string& node) const {
+  const auto* m = members_.find(node);
+  return m != nullptr && m->heard_at && (!m->said || m->said->to < kLineageLevel);
+}
+
+// Nobody is there at night to ask why users are refused: said again while it lasts.
+void Levels::tell_wait(Ms now, const std::string& leader) {
+  if (!lost_ || now < next_wait_) return;
+  next_wait_ = now + kLossTellMs;
+  const bool own = leader == platform_.node;
+  const char* what = leader.empty() ? "a leader" : own ? "the rebuild here" : "the rebuild";
+  out_.log(Event::state_waits, static_cast<double>(now - lost_since_) / 1000, what, leader, lost_generation_);
+}
+
 void Levels::knew(const wire::Level& level) {
   before_.low = std::min(before_.low, level.low);
   before_.high = std::max(before_.high, level.high);
@@ -100,7 +120,9 @@
   l.low = std::min(l.low, level_.low);
   l.high = std::max(l.high, level_.high);
   l.active = std::max(l.active, level_.active);
-  l.generation = std::max({lost_generation_, l.generation, level_.generation}) + 1;
+  l.generation = std::max({lost_generation_, l.generation, level_.generation, peer_generation_}) + 1;
+  // Below the level that brings it the state had none; the rebuilt one is known by it.
+  if (l.lineage.empty()) l.lineage = new_lineage((started_ + wall_minus_steady_) / 1000);
   return l;
 }
 
@@ -111,7 +133,7 @@
   store_.get(now, Rank::lease, kLevelKey, [this, expected = peer_generation_](Ms t, int status, std::string_view body) {
     looking_ = false;
     const auto too_old = [&](std::uint64_t generation) {
-      if (lost_ || generation >= expected || mine_.to < kLineageLevel) return false;
+      if (lost_ || generation >= expected || !heeds()) return false;
       lost_generation_ = expected;
       store_.lose(t, "generation");
       return true;
@@ -130,9 +152,11 @@
 }
 
 void Levels::adopt(Ms now, const wire::Level& level, std::uint64_t stamp) {
-  // An answer that was overtaken: this node's own switch is stored already.
-  if (known_ && stamp < stamp_) return;
+  // An answer that was overtaken: this node's own switch is stored already. Not in a loss: the store has gone back, perhaps
+  // more than once, and a controller that would not look at what stands there now refused its users for good.
+  if (known_ && !lost_ && stamp < stamp_) return;
   const bool other = !known_ || stamp != stamp_;
+  bool forgotten = false;
   known_ = true;
   level_ = level;
   stamp_ = stamp;
@@ -143,18 +167,21 @@
       return;
     }
     lost_ = false;
+    // The announcement may be gone without its lease being missed: a store that has lost everything gives the lease's
+    // number to somebody else, and renewing that one looks well. It held every switch back for good.
+    forgotten = true;
     store_.recovered();
     out_.log(Event::state_recovered, level.generation);
     if (on_recovered) on_recovered(now);
   }
-  if (level.generation != 0 && mine_.to >= kLineageLevel) store_.heed_losses();
+  if (heeds()) store_.heed_losses();
   if (!self_.supports(level)) return refuse(now, std::to_string(level.low) + "-" + std::to_string(level.high));
   store_.set_level(stamp);
   unsupported_ = false;
   if (other && (level.high > 1 || serving_)) out_.log(Event::level_active, level.active, level.low, level.high);
   // A running process that supports the level goes on: whatever it wrote under the former one was refused. One that
   // has announced nothing yet does so now, under the level as just read.
-  if (!serving_) announce(now);
+  if (!serving_ || forgotten) announce(now);
 }
 
 void Levels::refuse(Ms now, std::string what) {
@@ -175,8 +202,7 @@
     announcing_ = false;
     look_at_ = t + kStoreRetryMs;
   };
-  store_.call(now, Rank::lease, Method::post, "/holds", wire::hold_body(kMemberTtlMs), [this, again](Ms t, int status, std::string_view body) {
-    const auto lease = status == 200 ? wire::parse_lease(body) : std::nullopt;
+  store_.hold(now, static_cast<std::uint32_t>(kMemberTtlMs), [this, again](Ms t, std::optional<std::uint64_t> lease) {
     if (!lease) return again(t);
     store_.get(t, Rank::lease, kNodePrefix + platform_.node, [this, again, lease = *lease](Ms t2, int status2, std::string_view body2) {
       const auto item = status2 == 200 ? wire::parse_item(body2) : std::nullopt;
@@ -293,7 +319,7 @@
   next.since_s = (now + wall_minus_steady_) / 1000;
   // It stays when the level is taken back: what was once known of the state remains so.
   if (next.active >= kLineageLevel && next.generation == 0) {
-    next.lineage = std::to_string(self_.life) + "-" + std::to_string(next.since_s);
+    next.lineage = new_lineage(next.since_s);
     next.generation = 1;
   }
   wire::Txn txn;
--- a/src/core/levels.hpp
+++ b/src/core/levels.hpp
@@ -5,6 +5,7 @@
 #include "core/store_client.hpp"
 #include "membership/members.hpp"
 #include "rollout/rollout.hpp"
+#include "settings/constants.hpp"
 #include "settings/platform.hpp"
 #include "wire/level.hpp"
 #include "wire/progress.hpp"
@@ -34,10 +35,15 @@
   // The stored state has lost something, and has not been rebuilt: this node serves nobody and decides nothing but who
   // leads the rebuild. Known by an answer of the store, or told by another controller.
   bool lost() const { return lost_; }
+  // This version knows losses from the start, whatever the level: an identity is only what says that it was rebuilt.
+  bool heeds() const { return mine_.announces && mine_.to >= settings::kLineageLevel; }
+  // A controller of a version that heeds no loss: it was heard, and did not say that it does.
+  bool deaf(const std::string& node) const;
+  void tell_wait(Ms now, const std::string& leader);  // by each tick
   // For the rebuild's last write: what was known before the loss and what stands there now, one generation on.
   wire::Level rebuilt() const;
   const wire::Level& known_level() const { return lost_ ? before_ : level_; }
-  // A term that is stored is below one that is known. Only a state with an identity can be rebuilt; without, as ever.
+  // A term that is stored is below one that is known, or a record is gone.
   void behind(Ms now, const char* why);
   // Every other controller was heard, or would have been, since this process began: what it reads can be held against
   // what they know.
@@ -73,10 +79,11 @@
   wire::Announcement self_;
   membership::Members members_;
   void losing(Ms now, const char* why);
+  std::string new_lineage(std::int64_t since_s) const;
   wire::Level level_;
   wire::Level before_;            // the loss: the most that anybody knew
   std::uint64_t lost_generation_ = 0, peer_generation_ = 0;
-  Ms started_ = 0;
+  Ms started_ = 0, lost_since_ = 0, next_wait_ = 0;
   bool lost_ = false;
   std::uint64_t stamp_ = 0;       // of the key `level`
   std::uint64_t self_stamp_ = 0;  // of this process's announcement, by the leader's reading
--- a/src/core/rebuilder.cpp
+++ b/src/core/rebuilder.cpp
@@ -47,13 +47,29 @@
         out_.peer(node, wire::encode(ask));
       }
     }
-    const bool all = std::all_of(from_.begin(), from_.end(), [](const auto& f) { return f.second.whole(); });
-    if (loaded_ && (all || now - began_ >= kGatherMs)) gathered(now);
+    const bool any = std::any_of(from_.begin(), from_.end(), [&](const auto& f) { return awaited(now, f.first, f.second); });
+    if (loaded_ && (!any || now - began_ >= kGatherMs)) gathered(now);
     return;
   }
   if (!writing_ && now >= retry_at_) write(now);
 }
 
+// One that is there and keeps no copy is not waited for: an earlier version beside a loss made it longer by 5 s.
+bool Rebuilder::awaited(Ms now, const std::string& node, const From& from) const {
+  return !from.whole() && !(levels_.members().up(now, node) && levels_.deaf(node));
+}
+
+// A write that is refused for the leader's key will be for good. One that is refused again and again for anything else
+// has a cause that this process does not see; a new leader reads everything anew.
+bool Rebuilder::given_up(Ms now, int status, std::string_view body) {
+  if (status != 409) return false;
+  const bool led = body.find("\"leader\"") == std::string_view::npos;
+  if (led && ++refused_ < kRebuildTries) return false;
+  out_.log(Event::rebuild_given_up, led ? "refused again and again" : "another leads", std::string(body.substr(0, 100)));
+  if (on_deposed) on_deposed(now, "the rebuild is refused");
+  return true;
+}
+
 void Rebuilder::part(Ms now, const std::string& node, const wire::PeerMessage& m) {
   const auto it = from_.find(node);
   if (!gathering_ || m.id != term_ || it == from_.end() || m.a >= m.b) return;
@@ -92,6 +108,16 @@
   }));
 }
 
+// A version that heeds no loss may have led, and such a one tells nobody how far it launches: what the store lost of its
+// marks is known from the copies' last reading alone, up to a second old.
+bool Rebuilder::marks_untold() const {
+  const auto& before = levels_.known_level();
+  return before.high < 2 && std::any_of(from_.begin(), from_.end(), [&](const auto& f) {
+           const auto* m = levels_.members().find(f.first);
+           return m == nullptr || !m->said || m->said->to < kLineageLevel;
+         });
+}
+
 // What has to be written so that everything joined is stored, a job at a time. A leader tells the others a job's mark
 // before it launches beyond it, so the highest that anybody knows says which tasks may be somewhere.
 void Rebuilder::gathered(Ms now) {
@@ -109,14 +135,18 @@
     const auto there = it != stored_.end() ? wire::decode_over(nlohmann::json::parse(it->second.text)) : std::nullopt;
     if (!there || there->withdrawn != record.withdrawn) puts.push_back({over_key(job), nlohmann::json::parse(wire::encode(record)).dump()});
     if (stored_.contains(live_key(job))) puts.push_back({live_key(job), {}});
+    // A store that went back has its progress still, which nobody would ever drop, nor bring into another form.
+    const auto progress = "prog/" + job + "/";
+    for (auto p = stored_.lower_bound(progress); p != stored_.end() && p->first.starts_with(progress); ++p) puts.push_back({p->first, {}});
     if (!puts.empty()) jobs_.push_back(std::move(puts));
   }
   const auto form = wire::progress_form(levels_.rebuilt().active);
+  const bool all_marked = marks_untold();
   for (const auto& [job, u] : merged_.unfinished()) {
     auto record = wire::decode_live(nlohmann::json::parse(u.record, nullptr, false));
     if (!record) continue;  // nothing but progress is known of it: it was never accepted, or is over
     record->withdrawn = record->withdrawn || u.withdrawn;
-    record->mark = std::max(record->mark, u.mark);
+    record->mark = all_marked ? record->job.tasks : std::max(record->mark, u.mark);
     std::vector<Put> puts;
     put(puts, live_key(job), nlohmann::json::parse(wire::encode(*record)).dump());
     for (const auto& [chunk, texts] : u.progress) {
@@ -160,6 +190,7 @@
       levels_.adopt_rebuilt(t, level, *revision);
       return done(t);
     }
+    if (given_up(t, status, body)) return;
     retry_at_ = t + kStoreRetryMs;
   }));
 }
@@ -194,6 +225,7 @@
     const auto revision = status == 200 ? wire::parse_revision(body) : std::nullopt;
     if (!revision) {
       // Refused, or nobody knows: what stands there is read again, and what is missing then is worked out anew.
+      if (given_up(t, status, body)) return;
       retry_at_ = t + kStoreRetryMs;
       if (status == 409 || status == 0) {
         jobs_.clear();
@@ -210,6 +242,7 @@
       else
         stored_[p.key] = {*revision, p.text};
     }
+    refused_ = 0;
     written_ += puts.size();
     std::size_t left = puts.size();
     for (std::size_t i = 0; i < jobs; ++i) {
--- a/src/core/rebuilder.hpp
+++ b/src/core/rebuilder.hpp
@@ -20,6 +20,8 @@
   void start(Ms now);
   void tick(Ms now);
   void part(Ms now, const std::string& node, const wire::PeerMessage& m);  // copy_part
+  // This controller can't bring it to an end: another is to lead, and begins anew.
+  std::function<void(Ms, const char* why)> on_deposed;
 
  private:
   struct From {
@@ -38,6 +40,9 @@
   void open(Ms now);
   void finish(Ms now);
   void put_level(Ms now, const wire::Level& level, OnDone done);
+  bool given_up(Ms now, int status, std::string_view body);
+  bool marks_untold() const;
+  bool awaited(Ms now, const std::string& node, const From& from) const;
   template <class F>
   Done mine(F f) {
     return while_alive(alive_, std::move(f));
@@ -59,7 +64,7 @@
   std::deque<std::vector<Put>> jobs_;  // each written in one transaction
   Ms began_ = 0, retry_at_ = 0;
   bool loaded_ = false, writing_ = false, gathering_ = true, opening_ = false;
-  std::size_t written_ = 0;
+  std::size_t written_ = 0, refused_ = 0;  // refused_: writes in a row
 };
 
 }  // namespace hitchfront::core
--- a/src/core/store_client.cpp
+++ b/src/core/store_client.cpp
@@ -28,12 +28,14 @@
       write_rps_(write_rps * kStoreShare),
       nodes_(nodes),
       requests_(rps_ / nodes, rps_ / nodes),
-      writes_(1, 1) {
+      writes_(1, 1),
+      users_(write_rps_ * (nodes > 1 ? (1 - kLeaderShare) / (nodes - 1) : kLeaderShare), 1) {
   lead(false);
 }
 
 void StoreClient::lead(bool leading) {
   double share = 1;
+  leading_ = leading;
   if (nodes_ > 1) share = leading ? kLeaderShare : (1 - kLeaderShare) / (nodes_ - 1);
   writes_.set_rate(write_rps_ * share, write_rps_ * share);
   requests_.set_rate(rps_ * share, rps_ * share);
@@ -47,10 +49,19 @@
 }
 void StoreClient::commit(Ms now, Rank rank, const wire::Txn& txn, Done done) {
   if (stopped_ || (lost_ && rank != Rank::lease)) return done(now, 503, {});
+  using telemetry::Write;
+  txn.each_prefix([&](std::string_view p) {
+    out_.figures().add(telemetry::Count::store_writes, rank == Rank::user                      ? Write::user
+                                                       : p == "prog/"                          ? Write::progress
+                                                       : p == "over/" || p == "live/" ? (txn.writes() > 1 ? Write::final : Write::mark)
+                                                       : p == "roster/"                        ? Write::roster
+                                                       : p == "relay/" || p == "reply/"        ? Write::relay
+                                                                                               : Write::lead);
+  });
   call(now, rank, Method::post, "/txn", level_ ? txn.body(kLevelKey, *level_) : txn.body(), std::move(done), txn.writes());
 }
+// Again, where it is lost already: what has been read since the first loss does not hold either.
 void StoreClient::lose(Ms now, const char* why) {
-  if (lost_) return;
   lost_ = true;
   ++epoch_;
   seen_ = 0;
@@ -74,6 +85,14 @@
   c.timeout_ms = kStoreTimeoutMs;
   enqueue(now, rank, {std::move(c), std::move(done), writes, 0, 0});
 }
+void StoreClient::hold(Ms now, std::uint32_t ttl_ms, std::function<void(Ms, std::optional<std::uint64_t>)> done) {
+  call(now, Rank::lease, Method::post, "/holds", wire::hold_body(ttl_ms), [this, ttl_ms, done = std::move(done)](Ms t, int status, std::string_view body) {
+    const auto lease = status == 200 ? wire::parse_lease(body) : std::nullopt;
+    if (!lease || *lease != shunned_) return done(t, lease);
+    call(t, Rank::lease, Method::del, wire::end_path(*lease), {}, [](Ms, int, std::string_view) {});
+    hold(t, ttl_ms, done);
+  });
+}
 void StoreClient::watch(Ms now, std::string_view prefix, std::uint64_t after, Done done) {
   HttpCall c;
   c.path = wire::watch_path(prefix, after, static_cast<std::uint32_t>(kWatchHoldMs));
@@ -82,37 +101,55 @@
   enqueue(now, Rank::lease, {std::move(c), std::move(done), 0, 0, 0});
 }
 
+// A number of calls, 200, was a second's worth once; at 700 requests and 90 writes a second for five controllers it was
+// twenty seconds of acceptances, which users wait 5 s for.
 bool StoreClient::crowded(Rank rank) const {
-  return queues_[static_cast<std::size_t>(rank)].size() >= kStoreQueueMost;
+  const auto& q = queues_[static_cast<std::size_t>(rank)];
+  const auto over = [](std::size_t n, const Bucket& b) { return static_cast<double>(n) >= std::max<double>(kStoreQueueLeast, b.rate() * kStoreQueueS); };
+  return over(q.reads.size(), requests_) || over(q.writes.size(), rank == Rank::user && leading_ ? users_ : writes_);
 }
 
 void StoreClient::enqueue(Ms now, Rank rank, Waiting w) {
   if (w.born == 0) w.born = now;
-  queues_[static_cast<std::size_t>(rank)].push_back(std::move(w));
+  queues_[static_cast<std::size_t>(rank)].of(w.writes > 0).push_back(std::move(w));
   pump(now);
 }
 
+bool StoreClient::waits(std::size_t rank, Ms now) const {
+  const auto& q = queues_[rank].writes;
+  return !q.empty() && q.front().not_before <= now;
+}
+
+// The next of a queue, if it may go. A retry that is not due yet holds up what is behind it for 150 ms at the most.
+bool StoreClient::send_next(Ms now, std::size_t rank, bool writes) {
+  auto& q = queues_[rank].of(writes);
+  if (q.empty() || q.front().not_before > now || !requests_.can(now, 1)) return false;
+  if (writes && !writes_.can(now, q.front().writes)) return false;
+  Waiting next = std::move(q.front());
+  q.pop_front();
+  requests_.take(1);
+  writes_.take(next.writes);
+  send(now, static_cast<Rank>(rank), std::move(next));
+  return true;
+}
+
 void StoreClient::pump(Ms now) {
-  bool writes_wait = false;  // a write of higher rank waits: lower ones must not take its tokens
+  constexpr auto kUser = static_cast<std::size_t>(Rank::user);
+  bool writes = true;  // a write of higher rank that waits keeps its tokens from lower ones
   for (std::size_t r = 0; r < queues_.size(); ++r) {
-    auto& q = queues_[r];
-    for (std::size_t i = 0; i < q.size();) {
-      auto& w = q[i];
-      if (w.not_before > now) {
-        ++i;
-        continue;
-      }
-      if (!requests_.can(now, 1)) return;
-      if (w.writes > 0 && (writes_wait || !writes_.can(now, w.writes))) {
-        writes_wait = true;
-        ++i;
-        continue;
+    while (send_next(now, r, false)) {
+    }
+    while (writes && waits(r, now)) {
+      // What users bring to the leader's node must not keep the leader from its bookkeeping, without which nothing goes on:
+      // past their part they wait for what it leaves.
+      const double n = queues_[r].writes.front().writes;
+      const bool shared = r == kUser && leading_ && waits(static_cast<std::size_t>(Rank::leader), now);
+      if (shared && !users_.can(now, n)) break;
+      if (!send_next(now, r, true)) {
+        writes = false;
+        break;
       }
-      requests_.take(1);
-      writes_.take(w.writes);
-      Waiting next = std::move(w);
-      q.erase(q.begin() + static_cast<std::ptrdiff_t>(i));
-      send(now, static_cast<Rank>(r), std::move(next));
+      if (r == kUser && users_.can(now, n)) users_.take(n);
     }
   }
 }
--- a/src/core/store_client.hpp
+++ b/src/core/store_client.hpp
@@ -25,6 +25,7 @@
     return level_ >= std::min(n, most_);
   }
   void take(double n) { level_ -= n; }
+  double rate() const { return rate_; }
 
  private:
   double rate_, most_, level_;
@@ -33,9 +34,9 @@
 
 class StoreClient {
  public:
-  // Lower goes first: what keeps the leader and what users ask for is never behind bookkeeping, and the
-  // leader's work never behind questions about jobs that are over or were never submitted.
-  enum class Rank { lease = 0, user = 1, leader = 2, low = 3 };
+  // Lower goes first: what keeps the leader, then what launches of work that goes first wait for, what users ask for, the
+  // leader's other bookkeeping, that of guests' jobs, and last questions about jobs that are over or were never submitted.
+  enum class Rank { lease = 0, first = 1, user = 2, leader = 3, late = 4, low = 5 };
 
   StoreClient(Outbox& out, double rps, double write_rps, int nodes);
 
@@ -44,6 +45,10 @@
   void commit(Ms now, Rank rank, const wire::Txn& txn, Done done);
   void call(Ms now, Rank rank, Method method, std::string path, std::string body, Done done,
             int writes = 0);
+  // A lease of this node's own; nothing: the store gave none.
+  void hold(Ms now, std::uint32_t ttl_ms, std::function<void(Ms, std::optional<std::uint64_t> lease)> done);
+  // A number that somebody may renew for his own: a lease that gets it after a loss is given back, and another taken.
+  void shun(std::uint64_t lease) { shunned_ = lease; }
   void watch(Ms now, std::string_view prefix, std::uint64_t after, Done done);
   // Every transaction from now on is conditioned on this version of the key `level`: what was formed under another
   // level is refused, however late it arrives. Until it is called there is no such condition.
@@ -67,7 +72,7 @@
 
   void lead(bool leading);  // the leader has the larger part of the rates
   void pump(Ms now);
-  bool crowded(Rank rank) const;  // its calls wait in a queue that is long already
+  bool crowded(Rank rank) const;  // its calls already wait for a second's worth of the budget
 
  private:
   struct Waiting {
@@ -80,14 +85,24 @@
     std::uint64_t seen = 0, epoch = 0;  // when it was sent
   };
   void enqueue(Ms now, Rank rank, Waiting w);
+  bool send_next(Ms now, std::size_t rank, bool writes);
+  bool waits(std::size_t rank, Ms now) const;
   void send(Ms now, Rank rank, Waiting w);
 
   Outbox& out_;
   double rps_, write_rps_;
   int nodes_;
   Bucket requests_, writes_;
+  Bucket users_;  // what users' writes on the leader's node may take while the leader's own wait
+  bool leading_ = false;
+  std::uint64_t shunned_ = 0;
   void answered(Ms now, const Waiting& w, int status);
-  std::array<std::deque<Waiting>, 4> queues_;
+  struct Queue {
+    std::deque<Waiting> reads, writes;
+    const std::deque<Waiting>& of(bool w) const { return w ? writes : reads; }
+    std::deque<Waiting>& of(bool w) { return w ? writes : reads; }
+  };
+  std::array<Queue, 6> queues_;
   Ms failing_since_ = 0;  // 0: the last answer was one
   bool down_ = false;     // and that was told
   std::optional<std::uint64_t> level_;
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -8,6 +8,7 @@
   static const std::vector<Feature> table = {
       {"progress in runs", 2, "prog/<job>/<chunk>", "a bitmap in hex", "runs in varints, base64 coded", true},
       {"identity of the stored state", 3, "level", "none", "lineage and generation, by which a loss is rebuilt once", true},
+      {"machine types where versions from before levels don't look", 4, "flavors, rigs", "the types under `flavors`", "the types under `rigs`, an empty list under `flavors`", true},
   };
   return table;
 }
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -41,10 +41,16 @@
 // --- rebuilding after a loss ----------------------------------------------------------------------
 // The level from which the stored state has an identity, and losses are noticed and rebuilt.
 inline constexpr std::uint32_t kLineageLevel = 3;
+// The level from which machine types stand under another key, so that versions from before levels are never healthy.
+inline constexpr std::uint32_t kTypesLevel = 4;
 // ms between two looks whether the state has been rebuilt.
 inline constexpr std::int64_t kLossLookMs = 500;
 // ms for which the rebuild waits for the other controllers' copies: ten signs of life.
 inline constexpr std::int64_t kGatherMs = 5000;
+// ms between two lines in the log about what a node waits for while the stored state is lost.
+inline constexpr std::int64_t kLossTellMs = 5000;
+// Writes of a rebuild that are refused in a row before another controller is left to try: three seconds of them.
+inline constexpr std::size_t kRebuildTries = 10;
 // ms between two readings of what has changed, for the copy: two requests a second for each controller.
 inline constexpr std::int64_t kCopyMs = 1000;
 // Final states in a copy; some 16 MB.
@@ -76,8 +82,12 @@
 inline constexpr double kLeaderShare = 0.5;
 // ms without an answer of the store after which the log says so: a lost packet or a slow call is no outage.
 inline constexpr std::int64_t kStoreDownMs = 1000;
-// Calls waiting for the store's budget before users are refused: about a second's worth.
-inline constexpr std::size_t kStoreQueueMost = 200;
+// s of the node's rates that may wait for the store's budget before users are refused, and calls that may in any case:
+// users wait 5 s, and whoever is refused comes again in a second.
+inline constexpr double kStoreQueueS = 1;
+inline constexpr double kStoreQueueLeast = 8;
+// ms between two writes of a job's progress, unless it is over: the tasks that end meanwhile share one.
+inline constexpr std::int64_t kProgressMs = 1000;
 // Items in a page of a range read: job records are under 1 KB, so a page stays far below 512 KiB.
 inline constexpr std::uint32_t kPageItems = 200;
 // Tasks in one progress chunk: 1 KiB of bits, 2 KiB of hex, within the smallest value limit.
@@ -259,6 +269,13 @@
 inline constexpr std::uint64_t kFoldSurge = 4;
 // ms between two controllers' lines about one event that delays explain; more is a clock that is wrong.
 inline constexpr std::int64_t kStoryClockMs = 250;
+// Classes, and teams, whose share served is kept by name. ms after which a job that waits should have had its turn, and ms
+// in which what is over counts half as much.
+inline constexpr std::size_t kServedNames = 64;
+inline constexpr std::int64_t kServedDueMs = 120'000, kServedFadeMs = 300'000;
+// Below this share started a class or team is starving (the operators' own bound), told when it lasts for so many ms.
+inline constexpr double kServedShare = 0.5;
+inline constexpr std::int64_t kServedLowMs = 60'000;
 // ms between the debug lines that tell the fleet's state.
 inline constexpr std::int64_t kStateMs = 5000;
 // ms for which the text of GET /metrics is given again, and connections that may ask at once: whoever scrapes
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -33,6 +33,8 @@
        {"busy", "store", "types", "malformed", "never_runs", "try_again", "unknown", "level"}},
       {"hitchfront_store_calls_total", "Calls of the state service", "result",
        {"ok", "conflict", "missing", "crowded", "refused", "unanswered", "other"}},
+      {"hitchfront_store_writes_total", "Puts and deletes asked of the state service: what users submit and cancel, launch marks, progress, final states, the roster, relayed reports, and what leadership and levels take",
+       "what", {"user", "mark", "progress", "final", "roster", "relay", "lead"}},
       {"hitchfront_launches_total", "Launch commands sent"},
       {"hitchfront_completions_total", "Tasks found completed"},
       {"hitchfront_failures_total", "Tasks that failed"},
@@ -86,6 +88,9 @@
   return table;
 }
 
+const Spec kServed = {"hitchfront_served", "By `by` (`class` or `team`) and `name` (64 of each, then `other`), on the leader: jobs since its takeover, those that wait now, the longest wait in seconds, and the share started of those that are over or have waited for two minutes",
+                      "state", {"accepted", "started", "done", "withdrawn", "waiting", "oldest_s", "share"}};
+
 }  // namespace
 
 struct Figures::Registered {
@@ -93,6 +98,7 @@
   std::array<std::vector<prometheus::Counter*>, kCounts> counts;
   std::array<std::vector<prometheus::Gauge*>, kGauges> gauges;
   std::array<std::vector<prometheus::Histogram*>, kSpreads> spreads;
+  prometheus::Family<prometheus::Gauge>* served = nullptr;
 };
 
 namespace {
@@ -113,6 +119,7 @@
     auto& family = prometheus::BuildGauge().Name(gauges()[i].name).Help(gauges()[i].help).Register(r_->registry);
     each_series(gauges()[i], family, [&](auto& f, const auto& labels) { r_->gauges[i].push_back(&f.Add(labels)); });
   }
+  r_->served = &prometheus::BuildGauge().Name(kServed.name).Help(kServed.help).Register(r_->registry);
   for (std::size_t i = 0; i < kSpreads; ++i) {
     auto& family = prometheus::BuildHistogram().Name(spreads()[i].name).Help(spreads()[i].help).Register(r_->registry);
     each_series(spreads()[i], family, [&](auto& f, const auto& labels) { r_->spreads[i].push_back(&f.Add(labels, spreads()[i].bounds)); });
@@ -121,6 +128,10 @@
 
 Figures::~Figures() = default;
 
+void Figures::served(const std::string& by, const std::string& name, const std::string& state, double v) {
+  r_->served->Add({{"by", by}, {"name", name}, {"state", state}}).Set(v);
+}
+
 void Figures::add_at(Count what, std::size_t label, double n) {
   const auto& series = r_->counts[static_cast<std::size_t>(what)];
   if (label < series.size()) series[label]->Increment(n);
@@ -155,6 +166,7 @@
   };
   add(counts(), "counter");
   add(gauges(), "gauge");
+  out.push_back({kServed.name, "gauge", kServed.label, kServed.help, kServed.values});
   add(spreads(), "histogram");
   return out;
 }
--- a/src/telemetry/figures.hpp
+++ b/src/telemetry/figures.hpp
@@ -18,6 +18,7 @@
   relayed,      // by way
   refusals,     // by reason
   store_calls,  // by result
+  store_writes, // by what
   launches,
   completions,
   failures,
@@ -47,6 +48,7 @@
 enum class Way : std::uint8_t { direct, peer, store };
 enum class Refusal : std::uint8_t { busy, store, types, malformed, never, again, unknown, level };
 enum class CallResult : std::uint8_t { ok, conflict, missing, crowded, refused, unanswered, other };
+enum class Write : std::uint8_t { user, mark, progress, final, roster, relay, lead };
 enum class Stop : std::uint8_t { preempted, emptied, notice, withdrawn };
 enum class Back : std::uint8_t { idle, lost, emptied, taken, failed, faulty, stuck };
 
@@ -62,6 +64,8 @@
   void add(Count what, Label label, double n = 1) requires std::is_enum_v<Label> { add_at(what, static_cast<std::size_t>(label), n); }
   void set(Gauge what, double v, std::size_t label = 0);
   void observe(Spread what, double v, std::size_t label = 0);
+  // One class of jobs or team: the caller bounds how many names there are.
+  void served(const std::string& by, const std::string& name, const std::string& state, double v);
   // The exposition (text format 0.0.4).
   std::string exposition() const;
   double total(Count what) const;  // over all labels
--- /dev/null
+++ b/src/telemetry/served.hpp
@@ -0,0 +1,69 @@
+// How far each class of jobs and each team is served: of the jobs that have waited long enough to have had their turn, or
+// are over, how many were started. Pure: time comes in. Kept by the leader since its takeover; what is over fades.
+#pragma once
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hitchfront::telemetry {
+
+enum class By : std::uint8_t { job_class, team };
+const char* name(By by);
+
+class Served {
+ public:
+  using Ms = std::int64_t;  // steady time in milliseconds
+  struct Limits {
+    std::size_t names;   // of each kind; the rest is counted together, as "other"
+    Ms due;              // a job that has waited this long has had its turn
+    Ms fade;             // what is over counts half after this long
+    double share;        // less than this is low
+    Ms low_for;          // told once it was low for this long, and again each time this has passed
+  };
+  struct Row {
+    By by = By::job_class;
+    std::string name;
+    double accepted = 0, started = 0, done = 0, withdrawn = 0;  // jobs, since the takeover
+    std::size_t waiting = 0;  // unfinished and not started
+    double oldest_s = 0;      // of those, the longest wait
+    double share = 1;         // started of what is due or over
+  };
+  struct Open {  // an unfinished job
+    const std::string& job_class;
+    const std::string& team;
+    bool started = false;
+    Ms waited = 0;
+  };
+
+  explicit Served(Limits limits) : limits_(limits) {}
+  void accepted(const std::string& job_class, const std::string& team);
+  void started(const std::string& job_class, const std::string& team);
+  // `ran`: any of its tasks did.
+  void over(Ms now, const std::string& job_class, const std::string& team, bool withdrawn, bool ran);
+  // Rows that have been low for long and are to be told now.
+  std::vector<Row> look(Ms now, const std::vector<Open>& open);
+  std::vector<Row> rows() const;
+
+ private:
+  struct Kept {
+    Row row;
+    double over_started = 0, over_all = 0;  // fading; withdrawn before they ran don't count
+    double due = 0, due_started = 0;        // of the present look
+    Ms faded = 0, low_since = 0, told = 0;  // 0: not
+  };
+  Kept& kept(By by, const std::string& name);
+  void fade(Ms now, Kept& k) const;
+  template <class F>
+  void both(const std::string& job_class, const std::string& team, F f) {
+    f(kept(By::job_class, job_class));
+    f(kept(By::team, team));
+  }
+
+  Limits limits_;
+  std::map<std::pair<By, std::string>, Kept> kept_;
+};
+
+}  // namespace hitchfront::telemetry
--- a/src/wire/state.cpp
+++ b/src/wire/state.cpp
@@ -51,6 +51,14 @@
   return o.dump();
 }
 
+void Txn::each_prefix(const std::function<void(std::string_view)>& f) const {
+  for (const auto& change : then_) {
+    const auto it = change.contains("Set") ? change.find("Set") : change.find("Drop");
+    const std::string_view key = it->get_ref<const std::string&>();
+    f(key.substr(0, std::min(key.size(), key.find('/') == std::string_view::npos ? key.size() : key.find('/') + 1)));
+  }
+}
+
 std::string get_path(std::string_view key) { return "/store/" + std::string(key); }
 std::string range_path(std::string_view prefix, std::string_view after, std::uint32_t limit) {
   std::string p = "/store?Under=" + std::string(prefix);
--- a/src/wire/state.hpp
+++ b/src/wire/state.hpp
@@ -1,6 +1,7 @@
 // The state service: a small consistent store.
 #pragma once
 #include <cstdint>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -40,6 +41,8 @@
   // With one more condition, where `level` is given: that key's version.
   std::string body(std::string_view level_key = {}, std::uint64_t version = 0) const;
   int writes() const { return static_cast<int>(then_.size()); }
+  // Of each key that is put or dropped, the part up to and with the first slash (or all of it).
+  void each_prefix(const std::function<void(std::string_view)>& f) const;
 
  private:
   nlohmann::json if_ = nlohmann::json::array(), then_ = nlohmann::json::array();
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -115,6 +115,8 @@
   if (!failed.empty()) return {409, json{{"failed", failed}, {"LedgerRev", revision_}}.dump()};
   if (!changes.empty()) ++revision_;
   for (const auto& c : changes) {
+    const auto& name = (c.contains("Set") ? c["Set"] : c.at("Drop")).get_ref<const std::string&>();
+    ++written_[name.substr(0, name.find('/') + 1)];
     if (c.contains("Set")) {
       const auto key = c["Set"].get<std::string>();
       items_[key] = {c.at("V"), revision_, c.value("Tenancy", std::uint64_t{0})};
@@ -127,6 +129,11 @@
   return {200, json{{"LedgerRev", revision_}}.dump()};
 }
 
+std::size_t Store::written(const std::string& prefix) const {
+  const auto it = written_.find(prefix);
+  return it == written_.end() ? 0 : it->second;
+}
+
 Response Store::lease_call(std::int64_t now, const std::string& method, const std::string& path,
                            const std::string& body) {
   if (path == "/holds") {
--- a/standins/store.hpp
+++ b/standins/store.hpp
@@ -31,6 +31,7 @@
   const nlohmann::json* value(const std::string& key) const;
   // Everything below a prefix, as it stands there.
   void each(const std::string& prefix, const std::function<void(const std::string& key, const nlohmann::json& value)>& visit) const;
+  std::size_t written(const std::string& prefix) const;  // puts and deletes so far of keys with this first part
   int txn_ops = 12;
   // Losses. A copy of any moment can be kept and put back, with its revision, its change log and its leases, which then
   // have their full time; or everything goes.
@@ -71,6 +72,7 @@
   std::deque<Change> log_;
   std::uint64_t forgotten_ = 0;  // revision of the newest change no longer kept
   std::vector<Watch> watches_;
+  std::map<std::string, std::size_t, std::less<>> written_;  // by the part of the key up to its first slash
   std::uint64_t revision_ = 0, next_lease_ = 1;
   bool outage_ = false;
 };
--- a/tests/rebuild_test.cpp
+++ b/tests/rebuild_test.cpp
@@ -219,6 +219,8 @@
     {"all", {{60'000, "lose-all"}}},
     {"all_and_the_leader_crashes", {{60'000, "lose-all"}, {60'000, "crash leader"}}},
     {"all_and_leaders_of_the_rebuild_crash", {{60'000, "lose-all"}, {60'500, "crash leader"}, {66'000, "crash leader"}}},
+    {"all_again_before_it_is_rebuilt", {{60'000, "freeze leader 6000"}, {60'000, "back 4000"}, {63'000, "lose-all"}}},
+    {"all_again_as_the_rebuild_ends", {{60'000, "back 4000"}, {60'600, "lose-all"}, {61'200, "lose-all"}}},
     {"a_little_every_twenty_s", {{40'000, "back 1500"}, {60'000, "back 1500"}, {80'000, "back 1500"}, {100'000, "back 1500"}}},
 };
 class Losses : public ::testing::TestWithParam<Loss> {};
@@ -246,6 +248,53 @@
   }
 }
 
+// A controller of a version from before levels heeds no loss, and if it leads, nothing is rebuilt: it is unseated, whatever
+// the level is. Guards against four controllers that refused their users until somebody came, and against a loss during the
+// first roll, of which nobody took notice. What such a controller tells users is beyond anybody: they are kept from it here.
+TEST(Rebuild, BesideAnEarlierVersionServiceIsBackWithinSeconds) {
+  const std::vector<Scenario::At> kinds[] = {
+      {{70'000, "back 4000"}},
+      {{70'000, "lose-all"}},
+      {{66'000, "back 4000"}, {68'000, "freeze leader 6000"}, {80'000, "lose-all"}},
+      {{70'000, "back 4000"}, {71'000, "crash all"}},
+  };
+  for (const bool first : {false, true})  // during the first roll, or after the levels were reached
+    for (const auto& events : kinds)
+      for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        Scenario s;
+        s.seed = seed;
+        s.nodes = 5;
+        s.events = events;
+        s.no_users = {0};
+        const bool crash = events.back().what == "crash all";
+        if (first)
+          for (int node = 0; node < 5; ++node) s.versions.push_back({0, node, {1, 1, false}});
+        for (int node = 1; first && node < 5; ++node) s.versions.push_back({10'000 + 5000 * node, node, {}});
+        if (!first) s.versions = {{60'000, 0, {1, 1, false}}};
+        s.versions.push_back({110'000, 0, {}});
+        World w(s);
+        w.run();
+        const auto which = "seed " + std::to_string(seed) + (first ? ", during the first roll, " : ", ") + events.front().what;
+        // Where all end with the state, what was lost with it is gone for everybody.
+        if (!crash) {
+          EXPECT_TRUE(w.judge.broken.empty()) << which << "\n" << report(w);
+          EXPECT_TRUE(w.unfinished().empty()) << which;
+        }
+        EXPECT_GE(lines(w, "state.rebuilt"), 1U) << which;
+        std::map<std::string, std::int64_t> lost;  // by node, since when
+        for (const auto& l : w.log) {
+          const auto at = std::stoll(l);
+          const auto node = l.substr(l.find(' ') + 1, 6);
+          if (l.find("state.lost") != std::string::npos) lost.try_emplace(node, at);
+          if (l.find("node.started") != std::string::npos) lost.erase(node);
+          if (l.find("state.recovered") == std::string::npos || !lost.contains(node)) continue;
+          EXPECT_LT(at - lost.at(node), 35'000) << l;
+          lost.erase(node);
+        }
+        EXPECT_TRUE(lost.empty()) << which << ": " << lost.begin()->first << " never served again";
+      }
+}
+
 TEST(Rebuild, NoTermIsGivenOutTwiceAndServiceIsBackInSeconds) {
   Scenario s;
   s.seed = 6;
--- a/tests/roster_test.cpp
+++ b/tests/roster_test.cpp
@@ -351,6 +351,7 @@
   s.seed = 3;
   s.loss = 0;
   s.jobs_per_s = 1;
+  s.settle_ms = 300'000;  // a job a second: what only dear large machines may run waits for minutes
   for (int m = 1; m <= 5; ++m) s.cuts.push_back({58'000, 100'000, "n-00000" + std::to_string(m), "*", true});
   s.events = {{60'000, "crash leader"}};
   World w(s);
--- a/tests/telemetry_test.cpp
+++ b/tests/telemetry_test.cpp
@@ -1,14 +1,18 @@
 // The log and the figures: tables, summaries, the story of several controllers' logs.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 #include <sstream>
 
 #include "settings/constants.hpp"
 #include "telemetry/fold.hpp"
 #include "telemetry/figures.hpp"
+#include "telemetry/served.hpp"
 #include "telemetry/story.hpp"
 
 namespace hitchfront::telemetry {
@@ -54,6 +58,88 @@
   EXPECT_FALSE(fits_table(line(Event::machine_lost, "n-1", "five")));
 }
 
+// Random jobs against a plain recount of all that ever happened.
+TEST(Served, CountsAsARecountOfEverythingDoes) {
+  struct Job {
+    std::string job_class, team;
+    Served::Ms came = 0, over = 0;
+    bool started = false, withdrawn = false;
+  };
+  const Served::Limits limits{3, 10'000, 40'000, 0.5, 20'000};
+  std::mt19937 random(5);
+  Served served(limits);
+  std::vector<Job> jobs;
+  std::map<std::pair<std::string, std::string>, Served::Ms> low_since;
+  std::size_t told = 0, expected = 0;
+  for (Served::Ms now = 1000; now < 400'000; now += 1000) {
+    for (auto n = random() % 3; n > 0; --n) {
+      // Two classes of four share a name with others; one team starves for a while.
+      jobs.push_back({"c" + std::to_string(random() % 2), random() % 2 == 0 ? "red" : "blue", now});
+      served.accepted(jobs.back().job_class, jobs.back().team);
+    }
+    for (auto& j : jobs) {
+      if (j.over != 0) continue;
+      const bool starves = j.team == "red" && now > 100'000 && now < 250'000;
+      if (!j.started && !starves && random() % 8 == 0) {
+        j.started = true;
+        served.started(j.job_class, j.team);
+      }
+      if (random() % 60 == 0 || (j.started && random() % 20 == 0)) {
+        j.over = now;
+        j.withdrawn = !j.started || random() % 5 == 0;
+        served.over(now, j.job_class, j.team, j.withdrawn, j.started);
+      }
+    }
+    if (now % 5000 != 0) continue;
+    std::vector<Served::Open> open;
+    for (const auto& j : jobs)
+      if (j.over == 0) open.push_back({j.job_class, j.team, j.started, now - j.came});
+    told += served.look(now, open).size();
+    for (const auto& r : served.rows()) {
+      double accepted = 0, all = 0, started = 0, oldest = 0;
+      std::size_t waiting = 0;
+      for (const auto& j : jobs) {
+        if ((r.by == By::team ? j.team : j.job_class) != r.name) continue;
+        ++accepted;
+        if (j.over != 0) {
+          const double weight = j.withdrawn && !j.started ? 0 : std::exp2(-static_cast<double>(now - j.over) / limits.fade);
+          all += weight;
+          started += j.started ? weight : 0;
+          continue;
+        }
+        if (!j.started) {
+          ++waiting;
+          oldest = std::max(oldest, static_cast<double>(now - j.came) / 1000);
+        }
+        if (!j.started && now - j.came < limits.due) continue;
+        ++all;
+        started += j.started ? 1 : 0;
+      }
+      const double share = all < 1 ? 1 : started / all;
+      EXPECT_EQ(r.accepted, accepted);
+      EXPECT_EQ(r.waiting, waiting);
+      EXPECT_NEAR(r.oldest_s, oldest, 1e-9);
+      EXPECT_NEAR(r.share, share, 1e-6) << name(r.by) << " " << r.name << " at " << now;
+      auto& since = low_since[{name(r.by), r.name}];
+      if (share >= limits.share) since = 0;
+      if (share < limits.share && since == 0) since = now;
+      if (since != 0 && now > since && (now - since) % limits.low_for == 0) ++expected;
+    }
+  }
+  EXPECT_GT(told, 0U) << "the team that starves";
+  EXPECT_EQ(told, expected);
+}
+
+TEST(Served, NamesAreBounded) {
+  Served served({3, 10'000, 40'000, 0.5, 20'000});
+  for (int i = 0; i < 1000; ++i) served.accepted("class-" + std::to_string(i), "red");
+  ASSERT_EQ(served.rows().size(), 5U);  // three classes, the rest together, a team
+  for (const auto& r : served.rows())
+    if (r.name == "other") {
+      EXPECT_EQ(r.accepted, 997);
+    }
+}
+
 std::vector<Entry> at_info(std::vector<Entry> entries) {
   std::erase_if(entries, [](const Entry& e) { return e.level == Level::debug; });
   return entries;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -94,6 +94,8 @@
     unsigned most = 1000;  // level_most
   };
   std::vector<Version> versions;
+  std::set<int> no_users;        // nodes that the load balancer keeps users from
+  std::int64_t restart_ms = 5000;  // from a process's end until it is back
   std::set<int> no_roster;       // nodes whose leaders keep none, like an older version
   std::int64_t roster_from = 0;  // and that do if they start from then on; 0: never
   // Changes a node's answers on their way out: a deliberately broken core.
@@ -121,6 +123,7 @@
   std::size_t machines_most = 0;
   wire::Level level() const;  // as stored
   std::string stored(const std::string& key) const;  // as JSON; empty: nothing
+  std::size_t written(const std::string& prefix) const;  // puts and deletes of such keys
   const settings::Platform& platform() const { return platform_; }
   std::map<std::int64_t, std::size_t> launches_by_second;  // tasks that started
   std::set<std::string> faulty() const { return faulty_; }
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -61,6 +61,39 @@
 INSTANTIATE_TEST_SUITE_P(All, Troubles, ::testing::ValuesIn(kTroubles),
                          [](const auto& p) { return p.param.name; });
 
+// A process that ends is back within a fraction of a second: before its lease or its connections are missed, in the middle
+// of a takeover, of a switch of levels (they come at 6 to 25 s), of a rebuild, and faster than anybody can take over.
+std::vector<Scenario::At> again_and_again(const std::string& whom, std::int64_t from, std::int64_t every, int times) {
+  std::vector<Scenario::At> out;
+  for (int i = 0; i < times; ++i) out.push_back({from + i * every, "crash " + whom});
+  return out;
+}
+const Trouble kQuick[] = {
+    {"one", {}, {{40'000, "crash node-1"}, {60'000, "crash leader"}}},
+    {"all", {}, {{40'000, "crash all"}, {80'000, "crash all"}, {80'700, "crash all"}}},
+    {"the_leader_again_and_again", {}, again_and_again("leader", 40'000, 700, 20)},
+    {"all_again_and_again", {}, again_and_again("all", 40'000, 1'300, 12)},
+    {"one_faster_than_a_takeover", {}, again_and_again("node-0", 40'000, 250, 40)},
+    {"as_levels_switch", {}, again_and_again("leader", 6'000, 1'900, 10)},
+    {"a_follower_as_levels_switch", {}, again_and_again("node-2", 6'000, 1'100, 20)},
+    {"in_an_outage", {}, {{40'000, "outage"}, {42'000, "crash node-1"}, {43'000, "crash leader"}, {46'000, "mend"}, {46'100, "crash all"}}},
+    {"as_a_rebuild_goes_on", {}, {{60'000, "back 5000"}, {60'300, "crash leader"}, {60'900, "crash leader"}, {61'700, "crash node-0"}}},
+    {"beside_a_frozen_leader", {}, {{50'000, "freeze leader 9000"}, {53'000, "crash node-0"}, {54'000, "crash node-1"}, {55'000, "crash node-2"}}},
+};
+class QuickRestarts : public ::testing::TestWithParam<Trouble> {};
+
+TEST_P(QuickRestarts, KeepTheRules) {
+  std::uint64_t seed = 60;
+  for (const std::int64_t back : {50, 200, 500}) {
+    Scenario s;
+    s.seed = ++seed;
+    s.events = GetParam().events;
+    s.restart_ms = back;
+    keeps_rules(s);
+  }
+}
+INSTANTIATE_TEST_SUITE_P(All, QuickRestarts, ::testing::ValuesIn(kQuick), [](const auto& p) { return p.param.name; });
+
 TEST(RandomTroubles, DrawnAtRandomKeepTheRules) {
   for (std::uint64_t seed = 1; seed <= 16; ++seed) keeps_rules(random_scenario(seed));
 }
@@ -331,6 +364,7 @@
   };
   for (std::uint64_t seed = 1; seed <= 2; ++seed) {
     auto s = full_size(seed);
+    s.jobs_per_s = 0.4;  // so that the arrays ask for more than 300 machines whatever is drawn
     s.events = events[seed - 1];
     s.cuts = {{30'000, 50'000, "n-000007", "*", true}, {35'000, 55'000, "node-3", "state", true}};
     World w(s);
@@ -420,6 +454,19 @@
 }
 INSTANTIATE_TEST_SUITE_P(All, FleetSize, ::testing::ValuesIn(kFleetTroubles), [](const auto& p) { return p.param.name; });
 
+// Half as many machines again as the largest deployment, and processes that are back after 0.2 s.
+TEST(FleetSize, HalfAsManyMachinesAgainAndProcessesBackAtOnce) {
+  auto s = fleet_size(3, 98);
+  s.restart_ms = 200;
+  s.events = {{28'000, "crash leader"}, {29'000, "crash all"}, {33'000, "crash leader"}, {33'500, "crash leader"}, {36'000, "crash all"}};
+  World w(s);
+  w.run();
+  EXPECT_TRUE(w.judge.broken.empty()) << report(w);
+  EXPECT_GT(w.machines_most, 1500U);
+  EXPECT_GT(w.judge.started, 3000U);
+  EXPECT_EQ(w.leases_lost, 0U);
+}
+
 // Guards the cost of a report, and with it of a placement, against the size of the fleet: machines and tasks that
 // placement looked at, at 325, 650 and 1,300 machines.
 TEST(FleetSize, WorkForAReportGrowsNoFasterThanTheFleet) {
