The largest begin: aging, and the acceptance's troubles as tests in the seeded world

Change: src/aging: a job that has begun nothing for 75 s goes first in its priority with one task, after 135 s before whatever is not within a guarantee; room is set aside on 2% of the machines, its team's limit is kept for it, one machine is rented for it. Room set aside is not preemption's either. Served counts the largest of each class.

--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -49,6 +49,7 @@
   std::vector<wire::ProgressForm> chunk_form;  // as stored, where chunk_version is not 0
   bool writing = false, resync = false;
   Ms write_after = 0;
+  bool largest = false;  // among the largest of its class
   bool ran = false;    // a task of it was seen running, or is done
   Ms progress_at = 0;  // the next write of progress, at the earliest
 
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -42,6 +42,7 @@
       zones_(platform.zones),
       cloud_(platform.cloud_rps * kStoreShare, platform.cloud_rps),
       served_({kServedNames, kServedDueMs, kServedFadeMs, kServedShare, kServedLowMs}),
+      largest_(kServedNames),
       selector_(seed + 1, kLambda, admitted(op)) {
   for (const auto& t : platform.teams)
     teams_.push_back({t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max, 0, 0});
@@ -149,7 +150,8 @@
   job->prepare(zones_.size());
   resolve(*job);
   auto* p = job.get();
-  served_.accepted(p->spec.job_class, p->spec.team);
+  p->largest = largest_.among(p->spec.job_class, p->spec.cpus * p->spec.tasks);
+  served_.accepted(who(*p));
   jobs_[id] = std::move(job);
   dirty_ = true;
   return p;
@@ -238,7 +240,7 @@
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   auto& job = *it->second;
-  served_.over(now, job.spec.job_class, job.spec.team, job.withdrawn, job.ran);
+  served_.over(now, who(job), job.withdrawn, job.ran);
   for (auto* m : fleet_)
     for (auto p = m->tasks.lower_bound({job.index, 0}); p != m->tasks.end() && p->first.first == job.index;) {
       auto next = std::next(p);
@@ -365,7 +367,7 @@
 }
 
 void Leader::began_to_run(JobState& job) {
-  if (!std::exchange(job.ran, true)) served_.started(job.spec.job_class, job.spec.team);
+  if (!std::exchange(job.ran, true)) served_.started(who(job));
 }
 
 // Nobody looks at night whether some class or team gets nothing at all.
@@ -375,8 +377,8 @@
   std::vector<telemetry::Served::Open> open;
   open.reserve(jobs_.size());
   for (const auto& [id, job] : jobs_)
-    if (!job->withdrawn) open.push_back({job->spec.job_class, job->spec.team, job->ran, now - job->seen});
-  for (const auto& r : served_.look(now, open)) log(Event::served_low, telemetry::name(r.by), r.name, r.share, r.waiting, r.oldest_s, r.accepted);
+    if (!job->withdrawn) open.push_back({who(*job), job->ran, now - job->seen});
+  for (const auto& r : served_.look(now, open)) log(Event::served_low, telemetry::name(r.by), r.name, r.share, r.waiting, r.oldest_s, static_cast<std::uint64_t>(r.accepted));
 }
 
 // What a stall looks like from inside, five seconds apart.
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -21,6 +21,7 @@
 #include "roster/roster.hpp"
 #include "settings/expression.hpp"
 #include "settings/platform.hpp"
+#include "telemetry/largest.hpp"
 #include "telemetry/served.hpp"
 #include "wire/cloud.hpp"
 #include "wire/roster.hpp"
@@ -125,6 +126,7 @@
     std::string name;
     double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // a limit may be infinite
     double used_cpus = 0, used_gpus = 0;
+    std::uint64_t held_for = 0;  // a job whose turn it is, and that the limit has no room for; set anew by each placement
   };
 
   // loading
@@ -193,10 +195,12 @@
     std::map<Wanted, std::vector<Offer>> offers;  // heaps, the soonest at the top
   };
   double free_at(Ms now, Ends& ends, std::uint32_t at, const portfolio::Size& size);
-  void reserve(Ms now, const JobState& job, Ends& ends);
+  void reserve(Ms now, const JobState& job, Ends& ends, std::uint32_t most);
+  bool held_back(const JobState& job) const;  // its team's limit is kept for another job
   void assign(Ms now, JobState& job, Machine& m, std::uint32_t task);
   void mark_owed();
-  void fill(Ms now, JobState& job, std::vector<Machine*>& open);
+  void fill(Ms now, JobState& job, std::vector<Machine*>& open, std::uint32_t most);
+  bool has_begun(const JobState& job) const { return job.ran || job.placed > 0 || blame_.suspect(job.index); }
   void set_stage(Placement& p, Stage stage);
   static bool counted(Stage s) { return s == Stage::running || s == Stage::saving; }
   void select(Ms now);
@@ -307,6 +311,7 @@
 
   Blame blame_;
   telemetry::Served served_;
+  telemetry::Largest largest_;
   Ms next_served_ = 0;
   portfolio::Params params_;
   portfolio::Selector selector_;
--- a/src/core/leader_parts.hpp
+++ b/src/core/leader_parts.hpp
@@ -18,6 +18,8 @@
 // classes, as the design has it, a prediction mixes runs of 18 s with runs of 100 s.
 inline std::string owner_of(const wire::Job& j) { return j.team + "/" + j.job_class; }
 
+inline telemetry::Served::Who who(const JobState& job) { return {job.spec.job_class, job.spec.team, job.largest}; }
+
 // The longest that a worker's lease can last from an instant not before the sending of the report.
 inline Ms lease_ms(const settings::Platform& p) {
   return static_cast<Ms>(std::ceil(p.lease_s * 1000 * (1 + 2 * settings::kDrift))) + settings::kLeaseMarginMs;
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "aging/aging.hpp"
 #include "core/leader_parts.hpp"
 #include "settings/constants.hpp"
 
@@ -77,6 +78,13 @@
 
 // Its team is guaranteed nothing and takes what the others leave. Where nobody is guaranteed anything there are no guests:
 // a deployment of one team without guarantee had all its launch marks wait behind everything else, for half a minute.
+// A job whose turn has come needs more of its team's limit than is free at any moment: what comes free is kept for it, or
+// smaller jobs of the team would take it piece by piece for as long as they arrive.
+bool Leader::held_back(const JobState& job) const {
+  const auto held = teams_[static_cast<std::size_t>(job.team)].held_for;
+  return held != 0 && held != job.index && !job.owed;
+}
+
 bool Leader::is_guest(const JobState& job) const {
   const auto& team = teams_[static_cast<std::size_t>(job.team)];
   return guests_ && team.cpus <= 0 && team.gpus <= 0;
@@ -98,7 +106,7 @@
 // returned; then one that has the image; then the policy. First fit, which makes no distinction, takes
 // the fullest. A machine's merit for a job does not fall as the job's tasks fill it, so each is ranked
 // once and filled before the next: the same places as looking at every machine for each task.
-void Leader::fill(Ms now, JobState& job, std::vector<Machine*>& open) {
+void Leader::fill(Ms now, JobState& job, std::vector<Machine*>& open, std::uint32_t most) {
   struct Merit {
     bool slow, far;  // far: without the image
     double price, policy;
@@ -109,7 +117,7 @@
   if (!in_limit(job)) return;
   // A job that has failed on several machines and completed nowhere is tried one task at a time.
   const bool suspect = blame_.suspect(job.index);
-  std::uint32_t tries = !suspect ? job.waiting : job.placed + job.doubt > 0 ? 0 : 1;
+  std::uint32_t tries = !suspect ? std::min(most, job.waiting) : job.placed + job.doubt > 0 ? 0 : 1;
   if (tries == 0) return;
   const auto* avoided = blame_.avoided(job.index);
   std::vector<Merit> merits;
@@ -161,7 +169,7 @@
 // Machines are ordered once for all jobs that ask for the same. What is placed since can only make a machine's room come
 // later, so each is looked at again when it is its turn: the same machines as ordering them anew for each job, which
 // took two thirds of the processor time of a day on which a thousand machines fall and everything waits.
-void Leader::reserve(Ms now, const JobState& job, Ends& ends) {
+void Leader::reserve(Ms now, const JobState& job, Ends& ends, std::uint32_t most) {
   const Size size = size_of(job.spec);
   const bool alone = job.spec.one_zone || job.spec.spread;
   const auto later = [](const Ends::Offer& a, const Ends::Offer& b) { return a.when != b.when ? a.when > b.when : a.at > b.at; };
@@ -175,7 +183,7 @@
     work_ += ends.fleet.size();
     std::make_heap(offers.begin(), offers.end(), later);
   }
-  std::uint32_t need = job.waiting;
+  std::uint32_t need = std::min(most, job.waiting);
   while (need > 0 && !offers.empty()) {
     std::pop_heap(offers.begin(), offers.end(), later);
     const auto offer = offers.back();
@@ -269,22 +277,40 @@
   work_ += fleet_.size();
   dirty_ = false;
 
+  constexpr std::uint32_t kAll = UINT32_MAX;
   struct Key {
     bool guest, late;
     double key;
     JobState* job;
+    aging::Turn turn = aging::Turn::usual;  // for `most` tasks
+    std::uint32_t most = kAll;
+    bool aside = false;
   };
   std::vector<Key> order;
+  std::vector<aging::Waiting> waiting;
+  for (auto& t : teams_) t.held_for = 0;
   mark_owed();
   for (auto& [id, job] : jobs_) {
     if (!job->active() || job->waiting == 0 || job->team < 0 || now < job->not_before) continue;
     const double wait = static_cast<double>(now - job->seen) / 1000;
     order.push_back({is_guest(*job), late(*job, wait), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
+    waiting.push_back({order.size() - 1, wait, has_begun(*job), job->owed});
+  }
+  for (const auto& g : aging::turns(waiting, fleet_.size(), {kAgedS, kDueS, kAsideShare})) {
+    auto first = order[g.job];
+    first.turn = g.turn;
+    first.most = 1;
+    first.aside = g.aside;
+    order.push_back(first);
   }
   work_ += jobs_.size();
   std::sort(order.begin(), order.end(), [](const Key& a, const Key& b) {
     if (a.job->owed != b.job->owed) return a.job->owed;
+    const bool a_due = a.turn == aging::Turn::due, b_due = b.turn == aging::Turn::due;
+    if (a_due != b_due) return a_due;
     if (a.job->spec.priority != b.job->spec.priority) return a.job->spec.priority > b.job->spec.priority;
+    if (a.turn != b.turn) return a.turn > b.turn;
+    if (a.turn != aging::Turn::usual && a.job->seen != b.job->seen) return a.job->seen < b.job->seen;
     if (a.guest != b.guest) return b.guest;
     if (a.late != b.late) return b.late;
     if (a.key != b.key) return a.key > b.key;
@@ -292,9 +318,16 @@
   });
   for (auto& k : order) {
     auto& job = *k.job;
+    if (held_back(job)) continue;
     const auto before = job.waiting;
-    fill(now, job, open);
-    if (job.owed && job.waiting > 0 && in_limit(job)) reserve(now, job, ends);
+    fill(now, job, open, k.most);
+    if (k.turn != aging::Turn::usual && job.waiting == before) {
+      if (!in_limit(job))
+        teams_[static_cast<std::size_t>(job.team)].held_for = job.index;
+      else if (k.aside)
+        reserve(now, job, ends, 1);
+    }
+    if (job.owed && job.waiting > 0 && in_limit(job)) reserve(now, job, ends, kAll);
     if (job.waiting != before)
       std::erase_if(open, [](const Machine* m) { return m->room.cpus < 1e-9 && m->room.gpus < 1e-9; });
     if (job.mark_wanted > job.mark) persist(now, job);
--- a/src/core/leader_preemption.cpp
+++ b/src/core/leader_preemption.cpp
@@ -17,7 +17,7 @@
   mark_owed();
   std::vector<JobState*> wanting;
   for (auto& [id, job] : jobs_)
-    if (job->active() && job->waiting > 0 && job->team >= 0 && now >= job->not_before && !blame_.suspect(job->index) &&
+    if (job->active() && job->waiting > 0 && job->team >= 0 && !held_back(*job) && now >= job->not_before && !blame_.suspect(job->index) &&
         (job->owed || entitled(*job) || job->spec.priority > wire::Priority::low))
       wanting.push_back(job.get());
   if (wanting.empty()) return;
@@ -52,6 +52,8 @@
     const auto offer_of = [&](std::uint32_t at) -> std::optional<Offer> {
       auto* m = open[at];
       ++work_;
+      // Room that is set aside for a job is not another's, or what looked for victims took it at no loss at all.
+      if (m->reserved_for != 0 && m->reserved_for != job->index) return std::nullopt;
       if (!size.fits(m->whole) || !allowed_on(*job, *m) || m->tasks.size() >= kMachineTasksMost) return std::nullopt;
       Offer o;
       o.at = at;
--- a/src/core/leader_selection.cpp
+++ b/src/core/leader_selection.cpp
@@ -48,6 +48,7 @@
     j.image_gb = job->spec.image_gb;
     j.spot = job->spec.spot;
     j.owed = job->owed;
+    j.aged = !job->owed && !has_begun(*job) && j.wait_s >= kAgedS;
     j.types = job->types;
     j.zone = job->zone;
     s.queue.push_back(j);
--- a/src/portfolio/replay.cpp
+++ b/src/portfolio/replay.cpp
@@ -226,7 +226,7 @@
       if (n == 0) continue;
       const double share = n * job.size.share_of(offers_[static_cast<std::size_t>(o)].size);
       demands_[static_cast<std::size_t>(o)].push_back({share, job.wait_s + now, job.run_s});
-      if (job.owed) owed_[static_cast<std::size_t>(o)] += share;
+      if (job.owed || job.aged) owed_[static_cast<std::size_t>(o)] += job.owed ? share : share / n;
       any = true;
     }
     if (!any) return;
--- a/src/portfolio/replay.hpp
+++ b/src/portfolio/replay.hpp
@@ -64,6 +64,7 @@
   double image_gb = 0;
   bool spot = false;
   bool owed = false;  // within its team's guarantee: rented for whatever the policy says
+  bool aged = false;  // it has begun nothing for long: the same for one task
   std::uint64_t types = ~0ULL;  // bit per type
   int zone = -1;                // only allowed zone, or -1
   bool allows(int type, int z, bool is_spot) const {
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -167,6 +167,12 @@
 inline constexpr std::int64_t kPlaceMostMs = 500;
 // ms between placements that no event asked for.
 inline constexpr std::int64_t kStirMs = 1000;
+// s of waiting from which a job that has begun nothing goes before what else has its priority, and before whatever is not
+// within a guarantee, with one task: operators fail a day on which a class's largest jobs begin after four minutes, and what
+// is set aside takes a task's run time to come free.
+inline constexpr double kAgedS = 75, kDueS = 135;
+// Share of the machines on which room may be set aside for such jobs at a time.
+inline constexpr double kAsideShare = 0.02;
 // ms between looks for somebody to stop.
 inline constexpr std::int64_t kPreemptMs = 500;
 // s. A task this close to its predicted end is not stopped.
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -106,7 +106,7 @@
       {E::state_waits, "state.waits", Level::info, false, {{"seconds", K::number}, {"for", K::text}, {"leader", K::text}, {"generation", K::integer}},
        "the stored state has been lost for so long, and this node serves nobody; it waits for `a leader`, or for the rebuild by the leader that is named"},
       {E::served_low, "served.low", Level::error, false, {{"by", K::text}, {"name", K::text}, {"share", K::number}, {"waiting", K::integer}, {"oldest_s", K::number}, {"accepted", K::integer}},
-       "for a minute and more fewer than half of this class's or team's jobs that are over, or have waited for two minutes, were started; told each minute while it lasts"},
+       "for a minute and more fewer than half of this class's or team's jobs, or of a class's `largest`, that are over, or have waited for two minutes, were started; told each minute while it lasts"},
       {E::rebuild_given_up, "rebuild.given_up", Level::info, false, {{"why", K::text}, {"answer", K::text}},
        "this leader's rebuild is refused by the store and it gives up the lead; the next leader begins anew"},
       {E::cloud_down, "cloud.down", Level::info, false, {{"status", K::integer}},
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -89,7 +89,7 @@
   return table;
 }
 
-const Spec kServed = {"hitchfront_served", "By `by` (`class` or `team`) and `name` (64 of each, then `other`), on the leader: jobs since its takeover, those that wait now, the longest wait in seconds, and the share started of those that are over or have waited for two minutes",
+const Spec kServed = {"hitchfront_served", "By `by` (`class`, `team`, or `largest`: the largest jobs of a class) and `name` (64 of each, then `other`), on the leader: jobs since its takeover, those that wait now, the longest wait in seconds, and the share started of those that are over or have waited for two minutes",
                       "state", {"accepted", "started", "done", "withdrawn", "waiting", "oldest_s", "share"}};
 
 }  // namespace
--- /dev/null
+++ b/src/telemetry/largest.hpp
@@ -0,0 +1,24 @@
+// Which jobs are among the largest of their class: of its last hundred jobs, and this one, no more than a tenth ask for more
+// processors in all. Pure. Kept by the leader, from what it knows and what comes.
+#pragma once
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace hitchfront::telemetry {
+
+class Largest {
+ public:
+  // `names`: classes that are told apart; the rest is counted together.
+  explicit Largest(std::size_t names) : names_(names) {}
+  // Counts the job. `size`: the processors that all its tasks ask for.
+  bool among(const std::string& job_class, double size);
+
+ private:
+  static constexpr std::size_t kLast = 100;
+  std::size_t names_;
+  std::map<std::string, std::deque<double>> sizes_;  // the newest last
+};
+
+}  // namespace hitchfront::telemetry
--- a/src/telemetry/served.cpp
+++ b/src/telemetry/served.cpp
@@ -5,7 +5,7 @@
 
 namespace hitchfront::telemetry {
 
-const char* name(By by) { return by == By::team ? "team" : "class"; }
+const char* name(By by) { return by == By::team ? "team" : by == By::largest ? "largest" : "class"; }
 
 // Users write the names of classes: however many there are, the rows are bounded.
 Served::Kept& Served::kept(By by, const std::string& name) {
@@ -26,16 +26,16 @@
   k.faded = now;
 }
 
-void Served::accepted(const std::string& job_class, const std::string& team) {
-  both(job_class, team, [](Kept& k) { ++k.row.accepted; });
+void Served::accepted(const Who& who) {
+  each(who, [](Kept& k) { ++k.row.accepted; });
 }
 
-void Served::started(const std::string& job_class, const std::string& team) {
-  both(job_class, team, [](Kept& k) { ++k.row.started; });
+void Served::started(const Who& who) {
+  each(who, [](Kept& k) { ++k.row.started; });
 }
 
-void Served::over(Ms now, const std::string& job_class, const std::string& team, bool withdrawn, bool ran) {
-  both(job_class, team, [&](Kept& k) {
+void Served::over(Ms now, const Who& who, bool withdrawn, bool ran) {
+  each(who, [&](Kept& k) {
     ++(withdrawn ? k.row.withdrawn : k.row.done);
     fade(now, k);
     if (withdrawn && !ran) return;
@@ -51,7 +51,7 @@
     fade(now, k);
   }
   for (const auto& o : open)
-    both(o.job_class, o.team, [&](Kept& k) {
+    each(o.who, [&](Kept& k) {
       if (!o.started) {
         ++k.row.waiting;
         k.row.oldest_s = std::max(k.row.oldest_s, static_cast<double>(o.waited) / 1000);
--- a/src/telemetry/served.hpp
+++ b/src/telemetry/served.hpp
@@ -1,4 +1,4 @@
-// How far each class of jobs and each team is served: of the jobs that have waited long enough to have had their turn, or
+// How far each class of jobs, each team and the largest jobs of each class (telemetry/largest) are served: of the jobs that have waited long enough to have had their turn, or
 // are over, how many were started. Pure: time comes in. Kept by the leader since its takeover; what is over fades.
 #pragma once
 #include <cstddef>
@@ -10,7 +10,7 @@
 
 namespace hitchfront::telemetry {
 
-enum class By : std::uint8_t { job_class, team };
+enum class By : std::uint8_t { job_class, team, largest };
 const char* name(By by);
 
 class Served {
@@ -31,18 +31,22 @@
     double oldest_s = 0;      // of those, the longest wait
     double share = 1;         // started of what is due or over
   };
-  struct Open {  // an unfinished job
+  struct Who {
     const std::string& job_class;
     const std::string& team;
+    bool largest = false;  // of its class
+  };
+  struct Open {  // an unfinished job
+    Who who;
     bool started = false;
     Ms waited = 0;
   };
 
   explicit Served(Limits limits) : limits_(limits) {}
-  void accepted(const std::string& job_class, const std::string& team);
-  void started(const std::string& job_class, const std::string& team);
+  void accepted(const Who& who);
+  void started(const Who& who);
   // `ran`: any of its tasks did.
-  void over(Ms now, const std::string& job_class, const std::string& team, bool withdrawn, bool ran);
+  void over(Ms now, const Who& who, bool withdrawn, bool ran);
   // Rows that have been low for long and are to be told now.
   std::vector<Row> look(Ms now, const std::vector<Open>& open);
   std::vector<Row> rows() const;
@@ -57,9 +61,10 @@
   Kept& kept(By by, const std::string& name);
   void fade(Ms now, Kept& k) const;
   template <class F>
-  void both(const std::string& job_class, const std::string& team, F f) {
-    f(kept(By::job_class, job_class));
-    f(kept(By::team, team));
+  void each(const Who& who, F f) {
+    f(kept(By::job_class, who.job_class));
+    f(kept(By::team, who.team));
+    if (who.largest) f(kept(By::largest, who.job_class));
   }
 
   Limits limits_;
--- /dev/null
+++ b/tests/acceptance_test.cpp
@@ -0,0 +1,391 @@
+// What the operators' letter adds, in the seeded world: nobody forgotten, the largest served, machines that don't hear, late
+// copies and repeats, a controller alone with its workers, processes and machines back at once.
+#include <gtest/gtest.h>
+
+#include "settings/constants.hpp"
+#include "world.hpp"
+
+namespace hitchfront::testing {
+namespace {
+
+std::size_t lines(const World& w, const std::string& what) {
+  return static_cast<std::size_t>(std::count_if(w.log.begin(), w.log.end(), [&](const std::string& l) { return l.find(what) != std::string::npos; }));
+}
+
+// A deployment with few reports and writes, of one size of team or another.
+Scenario sparse(std::uint64_t seed) {
+  Scenario s;
+  s.seed = seed;
+  s.report_ms = 8000;
+  s.lease_s = 34;
+  s.write_rps = 30;
+  s.settle_ms = 300'000;
+  return s;
+}
+
+void well(const World& w, const std::string& what) {
+  EXPECT_TRUE(w.judge.broken.empty()) << what << "\n" << report(w);
+  EXPECT_TRUE(w.unfinished().empty()) << what << ": " << w.unfinished().size() << " jobs never ended";
+}
+
+// ---- nobody forgotten ------------------------------------------------------------------------------
+
+struct Case {
+  const char* name;
+  std::function<void(Scenario&)> change;
+};
+void PrintTo(const Case& c, std::ostream* out) { *out << c.name; }
+std::string name_of(const ::testing::TestParamInfo<Case>& p) { return p.param.name; }
+
+class NobodyForgotten : public ::testing::TestWithParam<Case> {};
+TEST_P(NobodyForgotten, EachJobIsAnsweredForOnceTroublesAreOver) {
+  for (const int nodes : {3, 5})
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      Scenario s;
+      s.seed = seed * 31;
+      s.nodes = nodes;
+      s.jobs_per_s = 0.5;
+      GetParam().change(s);
+      World w(s);
+      w.run();
+      well(w, GetParam().name);
+      EXPECT_GT(w.accepted, 20U);
+    }
+}
+const Case kForgotten[] = {
+    {"after_an_outage", [](Scenario& s) { s.events = {{60'000, "outage"}, {95'000, "mend"}}; }},
+    {"after_a_loss", [](Scenario& s) { s.events = {{70'000, "back 6000"}, {110'000, "back 3000"}}; }},
+    {"after_a_takeover", [](Scenario& s) { s.events = {{70'000, "crash leader"}, {140'000, "crash leader"}}; }},
+    {"after_a_flood_of_polls", [](Scenario& s) { s.storm_from = 60'000; s.storm_to = 149'000; s.jobs_per_s = 2; s.tasks_most = 2; }},
+    {"all_back_after_50_ms", [](Scenario& s) { s.restart_ms = 50; s.events = {{70'000, "crash all"}, {71'000, "crash all"}, {149'000, "crash all"}}; }},
+    {"all_back_after_500_ms", [](Scenario& s) { s.restart_ms = 500; s.events = {{70'000, "crash all"}, {149'000, "crash all"}}; }},
+};
+INSTANTIATE_TEST_SUITE_P(All, NobodyForgotten, ::testing::ValuesIn(kForgotten), name_of);
+
+// ---- the largest -------------------------------------------------------------------------------------
+
+class TheLargest : public ::testing::TestWithParam<Case> {};
+TEST_P(TheLargest, BeginWithinFourMinutes) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Scenario s;
+    s.seed = seed * 17;
+    s.loss = 0;
+    s.services = 0;
+    s.jobs_per_s = 1;
+    s.tasks_most = 8;
+    s.run_ms = 360'000;
+    s.settle_ms = 400'000;
+    s.largest_cpus = 8;  // a whole machine of the scarce type
+    GetParam().change(s);
+    World w(s);
+    w.run();
+    EXPECT_TRUE(w.judge.broken.empty()) << GetParam().name << "\n" << report(w);
+    const auto late = w.late_to_begin(240'000);
+    EXPECT_TRUE(late.empty()) << GetParam().name << " seed " << seed << ": " << late.size() << " of " << w.largest().size() << ", first " << late.front();
+  }
+}
+const Case kLargest[] = {
+    {"beside_small_jobs_without_end", [](Scenario&) {}},
+    {"while_the_leader_ends", [](Scenario& s) { s.events = {{100'000, "crash leader"}, {200'000, "crash leader"}, {300'000, "crash leader"}}; }},
+    {"with_reports_far_apart", [](Scenario& s) { s.report_ms = 8000; s.lease_s = 34; }},
+};
+INSTANTIATE_TEST_SUITE_P(All, TheLargest, ::testing::ValuesIn(kLargest), name_of);
+
+// ---- machines that don't hear --------------------------------------------------------------------------
+
+class Deaf : public ::testing::TestWithParam<Case> {};
+TEST_P(Deaf, MachinesBreakNoRuleAndHoldNothing) {
+  for (const bool far : {false, true})
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      auto s = far ? sparse(seed * 13) : Scenario{};
+      s.seed = seed * 13;
+      GetParam().change(s);
+      World w(s);
+      w.run();
+      well(w, GetParam().name);
+    }
+}
+const Case kDeaf[] = {
+    {"one_for_a_minute", [](Scenario& s) { s.deaf = {{40'000, 100'000, "*", "n-000002", false}}; }},
+    {"a_tenth_for_three_minutes", [](Scenario& s) { s.deaf = {{30'000, 210'000, "*", "tenth", false}}; }},
+    {"a_zone_for_half_a_minute", [](Scenario& s) { s.deaf = {{50'000, 80'000, "*", "zone east", false}}; }},
+    {"two_and_a_leaders_end", [](Scenario& s) {
+       s.deaf = {{40'000, 110'000, "*", "n-000002", false}, {45'000, 120'000, "*", "n-000003", false}};
+       s.events = {{60'000, "crash leader"}};
+     }},
+    {"to_one_controller_only", [](Scenario& s) { s.deaf = {{40'000, 130'000, "node-0", "*", false}}; }},
+    {"to_each_controller_in_turn", [](Scenario& s) {
+       s.deaf = {{40'000, 70'000, "node-0", "*", false}, {70'000, 100'000, "node-1", "*", false}, {100'000, 130'000, "node-2", "*", false}};
+     }},
+};
+INSTANTIATE_TEST_SUITE_P(All, Deaf, ::testing::ValuesIn(kDeaf), name_of);
+
+// Launched into the void again and again, each time for seconds, its work waited for as long as it was deaf.
+TEST(DeafMachines, GetNoWorkAreReplacedAndServeAgain) {
+  std::size_t deaf = 0, hear = 0;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    Scenario s;
+    s.seed = seed;
+    s.loss = 0;
+    s.jobs_per_s = 0.6;
+    s.deaf = {{40'000, 75'000, "*", "tenth", false}};
+    World w(s);
+    w.run();
+    well(w, "seed " + std::to_string(seed));
+    deaf += lines(w, "machine.deaf");
+    hear += lines(w, "machine.hears");
+  }
+  EXPECT_GE(deaf, 3U);
+  EXPECT_GE(hear, 1U);
+  EXPECT_LE(deaf, 4U * 8) << "none is given work again and again";
+}
+
+// ---- late copies and repeats ---------------------------------------------------------------------------
+
+class Copies : public ::testing::TestWithParam<Case> {};
+TEST_P(Copies, OfReportsAndRequestsBreakNoRule) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    Scenario s;
+    s.seed = seed * 7;
+    s.copies = 0.3;
+    s.copies_least = 2000;
+    s.copies_most = 45'000;
+    s.repeats = 0.2;
+    GetParam().change(s);
+    World w(s);
+    w.run();
+    well(w, GetParam().name);
+  }
+}
+const Case kCopies[] = {
+    {"quiet", [](Scenario&) {}},
+    {"after_takeovers", [](Scenario& s) { s.events = {{50'000, "crash leader"}, {90'000, "crash leader"}, {120'000, "crash all"}}; }},
+    {"after_sessions_that_end", [](Scenario& s) { s.events = {{40'000, "hang"}, {50'000, "hang"}, {60'000, "crash leader"}, {80'000, "hang"}, {100'000, "crash leader"}}; }},
+    {"after_machines_are_returned", [](Scenario& s) { s.events = {{40'000, "take"}, {60'000, "take"}, {61'000, "crash leader"}, {80'000, "take"}}; s.jobs_per_s = 0.15; }},
+    {"in_a_rebuild", [](Scenario& s) { s.events = {{60'000, "back 5000"}, {100'000, "lose-all"}, {101'000, "crash leader"}}; s.copies_most = 20'000; }},
+    {"without_a_roster", [](Scenario& s) { s.no_roster = {0, 1, 2}; s.events = {{50'000, "crash leader"}, {90'000, "crash leader"}}; }},
+    {"through_the_store", [](Scenario& s) {
+       for (const char* a : {"node-0", "node-2"}) s.cuts.push_back({60'000, 100'000, a, "node-1", true});
+       s.zone_cuts = {{60'000, 100'000, "east", "west", true}};
+     }},
+    {"processes_and_machines_back_at_once", [](Scenario& s) {
+       s.restart_ms = 100;
+       for (std::int64_t at = 40'000; at < 130'000; at += 7'000) {
+         s.events.push_back({at, "crash leader"});
+         s.events.push_back({at + 300, "crash leader"});
+         s.events.push_back({at + 3'000, "flap 400"});
+         s.events.push_back({at + 3'500, "flap 200"});
+       }
+       s.cuts = {{60'000, 75'000, "node-0", "*", true}, {90'000, 110'000, "n-000002", "*", true}};
+     }},
+};
+INSTANTIATE_TEST_SUITE_P(All, Copies, ::testing::ValuesIn(kCopies), name_of);
+
+// ---- a controller alone ----------------------------------------------------------------------------------
+
+TEST(Alone, AControllerAnswersAtOnceIsUnhealthyAndCostsNoLease) {
+  for (const bool hold : {true, false})
+    for (int node = 0; node < 3; ++node) {
+      Scenario s;
+      s.seed = 40 + static_cast<std::uint64_t>(node);
+      s.loss = 0;
+      alone(s, node, 60'000, 100'000, hold);
+      World w(s);
+      w.run();
+      well(w, "node " + std::to_string(node));
+      EXPECT_EQ(w.leases_lost, 0U) << "node " << node;
+      EXPECT_GT(w.answered("node-" + std::to_string(node), 503), 20U);
+      // At most what came before it knew: it needs 1.6 s for that. 20 and more without each of the guards.
+      EXPECT_LE(w.unanswered, 1U) << "node " << node << (hold ? ", held" : ", refused");
+    }
+}
+
+// The same of a leader that holds the others' promises, and of one that gave its own.
+TEST(Alone, InAnOutageNobodyLosesMoreThanTheLead) {
+  for (int node = 0; node < 3; ++node) {
+    Scenario s;
+    s.seed = 50 + static_cast<std::uint64_t>(node);
+    s.loss = 0;
+    s.events = {{58'000, "outage"}, {66'000, "mend"}};
+    alone(s, node, 60'000, 90'000, true);
+    World w(s);
+    w.run();
+    well(w, "node " + std::to_string(node));
+  }
+}
+
+TEST(Alone, IsSeenByTheLoadBalancer) {
+  settings::Platform p = test_platform(2, {"east"});
+  p.peers = {{"node-1", "east", "node-1"}};
+  core::Controller c(p, 1);
+  c.start(1000, 1'700'000'000'000);
+  const auto health = [&](std::int64_t now) {
+    c.request(now, 1'700'000'000'000 + now, 77, core::Method::get, "/healthz", "");
+    for (const auto& r : c.take().replies)
+      if (r.request == 77) return std::pair{r.status, r.body};
+    return std::pair{0, std::string()};
+  };
+  // Nothing ever answers: each call fails after its time.
+  std::vector<std::pair<std::int64_t, std::uint64_t>> calls;
+  for (std::int64_t now = 1000; now < 12'000; now += 100) {
+    c.tick(now, 1'700'000'000'000 + now);
+    for (const auto& call : c.take().calls) calls.emplace_back(now + 1500, call.id);
+    for (auto& [when, id] : calls)
+      if (when == now) c.response(now, id, 0, "");
+  }
+  EXPECT_EQ(health(12'000).first, 503);
+  EXPECT_NE(health(12'100).second.find("cut off"), std::string::npos);
+}
+
+// ---- direct launches ---------------------------------------------------------------------------------------
+
+// Commands held back for up to 40 s, in which leaders end, sessions end, and jobs are cancelled.
+TEST(DirectLaunch, HeldBackAcrossTakeoversAndSessionsBreaksNoRule) {
+  std::size_t sent = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    auto s = sparse(seed * 5);
+    s.jobs_per_s = 0.4;
+    for (int i = 1; i <= 6; ++i) {
+      const auto at = 30'000 + 17'000 * i;
+      // Only what the controller says to the machine by itself is held: its answers go by another way.
+      s.cuts.push_back({at, at + 20'000 + 3'000 * i, "node-" + std::to_string(i % 3), "n-00000" + std::to_string(i), true});
+    }
+    s.events = {{65'000, "crash leader"}, {90'000, "hang"}, {110'000, "crash leader"}, {125'000, "crash all"}};
+    World w(s);
+    w.run();
+    well(w, "seed " + std::to_string(seed));
+    sent += w.direct_commands;
+  }
+  EXPECT_GT(sent, 100U);
+}
+
+// Guards the rest of a launch's life: what was launched directly and got no answer stays where it is until proved gone.
+TEST(DirectLaunch, WhoseAnswersAreLostBreaksNoRule) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    auto s = sparse(seed * 3);
+    s.jobs_per_s = 0.5;
+    s.late_commands = 0.4;
+    s.events = {{70'000, "crash leader"}, {100'000, "hang"}};
+    World w(s);
+    w.run();
+    well(w, "seed " + std::to_string(seed));
+  }
+}
+
+// A launch is not worth a second call where the next report comes at once.
+TEST(DirectLaunch, IsNotSentWhereReportsAreClose) {
+  Scenario s;
+  s.seed = 3;
+  s.report_ms = 1500;
+  s.loss = 0;
+  World w(s);
+  w.run();
+  well(w, "reports every 1.5 s");
+  EXPECT_EQ(w.direct_launches, 0U);
+}
+
+// ---- at size -------------------------------------------------------------------------------------------------
+
+// Every trouble of the letter at once, at the largest deployment's size and half as large again.
+TEST(AtSize, TheLettersTroublesKeepTheRules) {
+  for (const int scale : {65, 98}) {
+    Scenario s;
+    s.seed = 7;
+    s.scale = scale;
+    s.nodes = scale == 65 ? 3 : 5;
+    s.report_ms = 8000;
+    s.lease_s = 34;
+    s.write_rps = scale == 65 ? 30 : 200;
+    s.jobs_per_s = 0.016 * scale;
+    s.tasks_most = scale == 65 ? 500 : 2000;
+    s.run_ms = 60'000;
+    s.settle_ms = 20'000;  // the rules; that every job ends is shown at the smaller sizes
+    s.copies = 0.05;
+    s.copies_most = 20'000;
+    s.repeats = 0.05;
+    s.restart_ms = 200;
+    s.deaf = {{20'000, 60'000, "*", "tenth", false}};
+    s.events = {{30'000, "crash leader"}, {30'400, "crash leader"}, {45'000, "crash all"}};
+    alone(s, 1, 34'000, 44'000, true);
+    World w(s);
+    w.run();
+    EXPECT_TRUE(w.judge.broken.empty()) << report(w);
+    EXPECT_GT(w.machines_most, scale == 65 ? 1000U : 1500U);
+    EXPECT_GT(w.judge.started, 2000U);
+  }
+}
+
+// ---- the judge catches a broken core ---------------------------------------------------------------------------
+
+std::set<std::string> broken_by(Scenario s, std::function<void(std::int64_t, int, core::Effects&)> saboteur) {
+  s.seed = 77;
+  s.saboteur = std::move(saboteur);
+  World w(s);
+  w.run();
+  return w.judge.broken;
+}
+
+// One job's polls always lose, and every other's are answered.
+TEST(AcceptanceJudge, CatchesOneForgottenJob) {
+  Scenario s;
+  const auto broken = broken_by(s, [](std::int64_t, int, core::Effects& e) {
+    for (auto& r : e.replies)
+      for (const char* id : {"run-007919", "run-015838", "run-023757", "run-031676"})  // one of them is not cancelled
+        if (r.body.find(id) != std::string::npos && r.status == 200) r.status = 429;
+  });
+  EXPECT_TRUE(broken.contains("forgotten"));
+}
+
+// A core that never launches a task of the large size starves a class's largest.
+TEST(AcceptanceJudge, CatchesTheLargestThatAreNotServed) {
+  Scenario s;
+  s.largest_cpus = 8;
+  s.services = 0;
+  s.settle_ms = 100'000;
+  World* world = nullptr;
+  s.seed = 77;
+  s.saboteur = [&world](std::int64_t, int, core::Effects& e) {
+    const auto drop = [&](std::string& text) {
+      auto body = nlohmann::json::parse(text, nullptr, false);
+      if (!body.is_object() || !body.contains("Orders")) return;
+      auto kept = nlohmann::json::array();
+      for (const auto& o : body["Orders"]) {
+        const auto lot = o.value("Lot", "");
+        const auto job = world->judge.jobs.find(lot.substr(0, lot.find('/')));
+        if (o.value("Verb", "") != "launch" || job == world->judge.jobs.end() || job->second.spec.cpus < 8) kept.push_back(o);
+      }
+      body["Orders"] = kept;
+      text = body.dump();
+    };
+    for (auto& r : e.replies) drop(r.body);
+    for (auto& c : e.calls) drop(c.body);
+  };
+  World w(s);
+  world = &w;
+  w.run();
+  EXPECT_EQ(w.judge.broken, std::set<std::string>{"served"}) << report(w);
+  const auto unserved = w.unserved();
+  EXPECT_TRUE(std::any_of(unserved.begin(), unserved.end(), [](const std::string& u) { return u.find("'s largest") != std::string::npos; }));
+  EXPECT_FALSE(w.late_to_begin(100'000).empty());
+}
+
+// A core that clears what it launched directly before it knows what became of it, and says it again.
+TEST(AcceptanceJudge, CatchesALaunchThatIsCarriedOutTwice) {
+  auto s = sparse(77);
+  s.jobs_per_s = 0.5;
+  std::vector<core::HttpCall> before;
+  const auto broken = broken_by(s, [&](std::int64_t now, int, core::Effects& e) {
+    std::vector<core::HttpCall> more;
+    for (auto& c : e.calls)
+      if (c.target == core::Target::worker && c.body.find("launch") != std::string::npos) before.push_back(c);
+    if (now % 5'000 < 100 && !before.empty()) {
+      auto again = before[static_cast<std::size_t>(now / 100) % before.size()];
+      again.id = 1'000'000'000 + static_cast<std::uint64_t>(now);
+      e.calls.push_back(again);
+    }
+  });
+  EXPECT_FALSE(broken.empty());
+}
+
+}  // namespace
+}  // namespace hitchfront::testing
--- a/tests/telemetry_test.cpp
+++ b/tests/telemetry_test.cpp
@@ -12,6 +12,7 @@
 #include "settings/constants.hpp"
 #include "telemetry/fold.hpp"
 #include "telemetry/figures.hpp"
+#include "telemetry/largest.hpp"
 #include "telemetry/served.hpp"
 #include "telemetry/story.hpp"
 
@@ -63,7 +64,8 @@
   struct Job {
     std::string job_class, team;
     Served::Ms came = 0, over = 0;
-    bool started = false, withdrawn = false;
+    bool started = false, withdrawn = false, largest = false;
+    Served::Who who() const { return {job_class, team, largest}; }
   };
   const Served::Limits limits{3, 10'000, 40'000, 0.5, 20'000};
   std::mt19937 random(5);
@@ -75,31 +77,32 @@
     for (auto n = random() % 3; n > 0; --n) {
       // Two classes of four share a name with others; one team starves for a while.
       jobs.push_back({"c" + std::to_string(random() % 2), random() % 2 == 0 ? "red" : "blue", now});
-      served.accepted(jobs.back().job_class, jobs.back().team);
+      jobs.back().largest = random() % 4 == 0;
+      served.accepted(jobs.back().who());
     }
     for (auto& j : jobs) {
       if (j.over != 0) continue;
       const bool starves = j.team == "red" && now > 100'000 && now < 250'000;
       if (!j.started && !starves && random() % 8 == 0) {
         j.started = true;
-        served.started(j.job_class, j.team);
+        served.started(j.who());
       }
       if (random() % 60 == 0 || (j.started && random() % 20 == 0)) {
         j.over = now;
         j.withdrawn = !j.started || random() % 5 == 0;
-        served.over(now, j.job_class, j.team, j.withdrawn, j.started);
+        served.over(now, j.who(), j.withdrawn, j.started);
       }
     }
     if (now % 5000 != 0) continue;
     std::vector<Served::Open> open;
     for (const auto& j : jobs)
-      if (j.over == 0) open.push_back({j.job_class, j.team, j.started, now - j.came});
+      if (j.over == 0) open.push_back({j.who(), j.started, now - j.came});
     told += served.look(now, open).size();
     for (const auto& r : served.rows()) {
       double accepted = 0, all = 0, started = 0, oldest = 0;
       std::size_t waiting = 0;
       for (const auto& j : jobs) {
-        if ((r.by == By::team ? j.team : j.job_class) != r.name) continue;
+        if ((r.by == By::team ? j.team : j.job_class) != r.name || (r.by == By::largest && !j.largest)) continue;
         ++accepted;
         if (j.over != 0) {
           const double weight = j.withdrawn && !j.started ? 0 : std::exp2(-static_cast<double>(now - j.over) / limits.fade);
@@ -132,7 +135,10 @@
 
 TEST(Served, NamesAreBounded) {
   Served served({3, 10'000, 40'000, 0.5, 20'000});
-  for (int i = 0; i < 1000; ++i) served.accepted("class-" + std::to_string(i), "red");
+  for (int i = 0; i < 1000; ++i) {
+    const std::string name = "class-" + std::to_string(i);
+    served.accepted({name, "red"});
+  }
   ASSERT_EQ(served.rows().size(), 5U);  // three classes, the rest together, a team
   for (const auto& r : served.rows())
     if (r.name == "other") {
@@ -140,6 +146,27 @@
     }
 }
 
+// Against the plain definition over the last hundred jobs of the class.
+TEST(Largest, IsATenthOfTheLastHundred) {
+  std::mt19937 random(8);
+  Largest largest(2);
+  std::map<std::string, std::vector<double>> seen;
+  std::size_t among = 0, all = 0;
+  for (int i = 0; i < 4000; ++i) {
+    const std::string name = "c" + std::to_string(random() % 3);  // the third shares a place with nobody else
+    const double size = static_cast<double>(random() % 50);
+    auto& sizes = seen[name];
+    sizes.push_back(size);
+    const auto from = sizes.size() > 100 ? sizes.end() - 100 : sizes.begin();
+    const auto larger = std::count_if(from, sizes.end(), [&](double s) { return s > size; });
+    const bool expected = static_cast<std::size_t>(larger) < std::max<std::size_t>(1, static_cast<std::size_t>(sizes.end() - from) / 10);
+    ASSERT_EQ(largest.among(name, size), expected) << "job " << i;
+    among += expected ? 1 : 0;
+    ++all;
+  }
+  EXPECT_NEAR(static_cast<double>(among) / static_cast<double>(all), 0.1, 0.04);
+}
+
 std::vector<Entry> at_info(std::vector<Entry> entries) {
   std::erase_if(entries, [](const Entry& e) { return e.level == Level::debug; });
   return entries;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -233,6 +233,12 @@
     s.copies_least = number(500, 5'000);
     s.copies_most = s.copies_least + number(1'000, 60'000);
   }
+  if (number(0, 1) == 0) s.late_commands = 0.1 * static_cast<double>(number(1, 5));
+  if (number(0, 1) == 0) {  // reports far apart, so that launches go to machines directly
+    s.report_ms = number(3, 8) * 1000;
+    s.lease_s = 12 + 2.5 * static_cast<double>(s.report_ms) / 1000;
+    s.settle_ms += 60'000;
+  }
   if (number(0, 1) == 0) s.repeats = 0.05 * static_cast<double>(number(1, 4));
   for (auto deaf = number(0, 3); deaf > 0; --deaf) {
     const auto when = number(10'000, s.run_ms - 40'000);
@@ -584,6 +590,14 @@
           if (!w->tasks().empty() && c.body.find('"' + name + '"') != std::string::npos) ++busy_returned;
       back(cloud_->handle(now_, method, c.path, c.body));
     } else {
+      ++direct_commands;
+      for (auto p = c.body.find("\"launch\""); p != std::string::npos; p = c.body.find("\"launch\"", p + 1)) ++direct_launches;
+      if (s_.late_commands > 0 && std::uniform_real_distribution<>(0, 1)(random_) < s_.late_commands) {
+        at(now_ + std::uniform_int_distribution<std::int64_t>(s_.copies_least, s_.copies_most)(random_), [this, to, c] {
+          if (auto it = workers_.find(to); it != workers_.end() && !it->second->hung) it->second->direct(now_, c.path, c.body);
+        });
+        return;
+      }
       // A hanging machine takes a command up when it resumes.
       auto attempt = std::make_shared<std::function<void()>>();
       *attempt = [this, to, c, back, weak = std::weak_ptr(attempt)] {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -78,6 +78,7 @@
   // Share of workers' reports of which a copy comes once more, to any controller, and the delays of the copies.
   double copies = 0;
   std::int64_t copies_least = 1000, copies_most = 40'000;
+  double late_commands = 0;  // share of commands to machines whose answer is lost, and that arrive as late as copies
   double repeats = 0;  // share of users' and controllers' requests that are carried out twice, the second time as late as copies
   struct At {
     std::int64_t when;
@@ -137,6 +138,7 @@
   std::vector<std::string> largest() const;
   std::vector<std::string> late_to_begin(std::int64_t most_ms) const;  // of the largest
   std::size_t answered(const std::string& node, int status) const;  // requests so answered, of anybody
+  std::size_t direct_commands = 0, direct_launches = 0;  // requests, and launches in them
   std::size_t unanswered = 0;  // requests that a running controller let wait until whoever asked gave up
   std::vector<std::string> log;
   std::int64_t now() const { return now_; }
