--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -152,6 +152,7 @@
   void drain_if_faulty(Machine& m);
   void failed(Ms now, Machine& m, JobState& job);
   bool answer(Ms now, Machine& m, bool force);
+  HttpCall to_machine(const Machine& m, const std::vector<wire::Command>& commands) const;
   void stop_direct(Ms now, Machine& m);
   void launch_direct(Ms now, Machine& m);
   void direct_answered(Ms now, const std::string& machine, std::uint64_t session, const std::vector<std::pair<TaskKey, std::uint64_t>>& launched, int status, std::string_view body);
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -387,6 +387,17 @@
   return commands;
 }
 
+HttpCall Leader::to_machine(const Machine& m, const std::vector<wire::Command>& commands) const {
+  HttpCall c;
+  c.target = Target::worker;
+  c.addr = m.addr;
+  c.method = Method::post;
+  c.path = "/commands";
+  c.body = wire::direct_commands(term_, m.session, commands);
+  c.timeout_ms = kWorkerTimeoutMs;
+  return c;
+}
+
 // Where the next report is seconds away, a launch that is stored goes to the machine itself. It may be carried out late, as
 // long as token and session are the same: docs/safety.md, "Direct launches", says why that breaks nothing.
 void Leader::launch_direct(Ms now, Machine& m) {
@@ -402,13 +413,7 @@
       launched.push_back({key, p.attempt});
     }
   m.direct_out = true;
-  HttpCall c;
-  c.target = Target::worker;
-  c.addr = m.addr;
-  c.method = Method::post;
-  c.path = "/commands";
-  c.body = wire::direct_commands(term_, m.session, commands);
-  c.timeout_ms = kWorkerTimeoutMs;
+  auto c = to_machine(m, commands);
   out_.figures().add(telemetry::Count::direct_launches, static_cast<double>(commands.size()));
   out_.call(std::move(c), mine([this, name = m.name, session = m.session, launched = std::move(launched)](Ms t, int status, std::string_view body) {
     direct_answered(t, name, session, launched, status, body);
@@ -456,13 +461,7 @@
   }
   m.stopping = any;
   if (commands.empty()) return;
-  HttpCall c;
-  c.target = Target::worker;
-  c.addr = m.addr;
-  c.method = Method::post;
-  c.path = "/commands";
-  c.body = wire::direct_commands(term_, m.session, commands);
-  c.timeout_ms = kWorkerTimeoutMs;
+  auto c = to_machine(m, commands);
   // What comes of it shows in the worker's next report.
   out_.call(std::move(c), [](Ms, int, std::string_view) {});
 }
--- a/src/core/live_view.cpp
+++ b/src/core/live_view.cpp
@@ -85,7 +85,10 @@
 void LiveView::answer(Ms now, bool known) {
   reading_ = false;
   // Nobody is to wait for a second read that is not answered either: users wait 2 s.
-  if (!known && store_.unreachable(now)) std::move(waiting_.begin(), waiting_.end(), std::back_inserter(covered_)), waiting_.clear();
+  if (!known && store_.unreachable(now)) {
+    for (auto& poll : waiting_) covered_.push_back(std::move(poll));
+    waiting_.clear();
+  }
   for (auto& [id, tell] : std::exchange(covered_, {})) {
     const auto it = jobs_.find(id);
     tell(now, known, it == jobs_.end() ? nullptr : &it->second);
