--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -368,20 +368,10 @@
   World* world = nullptr;
   s.seed = 77;
   s.saboteur = [&world](std::int64_t, int, core::Effects& e) {
-    const auto drop = [&](std::string& text) {
-      auto body = nlohmann::json::parse(text, nullptr, false);
-      if (!body.is_object() || !body.contains("Orders")) return;
-      auto kept = nlohmann::json::array();
-      for (const auto& o : body["Orders"]) {
-        const auto lot = o.value("Lot", "");
-        const auto job = world->judge.jobs.find(lot.substr(0, lot.find('/')));
-        if (o.value("Verb", "") != "launch" || job == world->judge.jobs.end() || job->second.spec.cpus < 8) kept.push_back(o);
-      }
-      body["Orders"] = kept;
-      text = body.dump();
-    };
-    for (auto& r : e.replies) drop(r.body);
-    for (auto& c : e.calls) drop(c.body);
+    drop_launches(e, [&](const std::string& id) {
+      const auto job = world->judge.jobs.find(id);
+      return job != world->judge.jobs.end() && job->second.spec.cpus >= 8;
+    });
   };
   World w(s);
   world = &w;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -902,6 +902,22 @@
   return out;
 }
 
+void drop_launches(core::Effects& e, const std::function<bool(const std::string& job)>& unwanted) {
+  const auto drop = [&](std::string& text) {
+    auto body = json::parse(text, nullptr, false);
+    if (!body.is_object() || !body.contains("Orders")) return;
+    auto kept = json::array();
+    for (const auto& order : body["Orders"]) {
+      const auto lot = order.value("Lot", "");
+      if (order.value("Verb", "") != "launch" || !unwanted(lot.substr(0, lot.find('/')))) kept.push_back(order);
+    }
+    body["Orders"] = kept;
+    text = body.dump();
+  };
+  for (auto& r : e.replies) drop(r.body);
+  for (auto& c : e.calls) drop(c.body);
+}
+
 std::string report(const World& w) {
   std::string out;
   for (std::size_t i = 0; i < std::min<std::size_t>(w.judge.what.size(), 5); ++i) out += w.judge.what[i] + "\n";
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -224,6 +224,9 @@
   int next_id_ = 1;
 };
 
+// Takes out of all that a controller says to machines the launches for which `unwanted` is true: a broken core.
+void drop_launches(core::Effects& e, const std::function<bool(const std::string& job)>& unwanted);
+
 // The first few rules that the world's judge saw broken, a line each.
 std::string report(const World& w);
 
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -311,20 +311,10 @@
   s.settle_ms = 100'000;
   World* world = nullptr;
   s.saboteur = [&world](std::int64_t, int, core::Effects& e) {
-    const auto drop = [&](std::string& text) {
-      auto body = nlohmann::json::parse(text, nullptr, false);
-      if (!body.is_object() || !body.contains("Orders")) return;
-      auto kept = nlohmann::json::array();
-      for (const auto& order : body["Orders"]) {
-        const auto lot = order.value("Lot", "");
-        const auto job = world->judge.jobs.find(lot.substr(0, lot.find('/')));
-        if (order.value("Verb", "") != "launch" || job == world->judge.jobs.end() || job->second.spec.team != "blue") kept.push_back(order);
-      }
-      body["Orders"] = kept;
-      text = body.dump();
-    };
-    for (auto& r : e.replies) drop(r.body);
-    for (auto& c : e.calls) drop(c.body);
+    drop_launches(e, [&](const std::string& id) {
+      const auto job = world->judge.jobs.find(id);
+      return job != world->judge.jobs.end() && job->second.spec.team == "blue";
+    });
   };
   World w(s);
   world = &w;
