--- a/drills/drill.cpp
+++ b/drills/drill.cpp
@@ -306,12 +306,12 @@
         ask("/work", core::Method::post, u.body.dump(), [this, i, state_in, note](int status, const std::string& text) {
           auto& x = users_[i];
           x.waiting = false;
-          judge_.submitted_answer(x.id, status);
+          judge_.submitted_answer(now(), x.id, status);
           if (status == 200 || status == 201) {
             x.accepted = true;
             x.accepted_at = now();
             x.by_deaf = answers_deaf_;
-            judge_.polled(x.id, 200, state_in(text));
+            judge_.polled(now(), x.id, 200, state_in(text));
           }
           note("submit", status, state_in(text));
         });
@@ -329,7 +329,7 @@
           auto& x = users_[i];
           x.waiting = false;
           const auto state = state_in(text);
-          judge_.polled(x.id, status, state);
+          judge_.polled(now(), x.id, status, state);
           x.over = x.over || (status == 200 && (state == "done" || state == "withdrawn"));
           note("poll", status, state);
         });
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -1,5 +1,7 @@
 #include "core/controller.hpp"
 
+#include <cmath>
+
 #include "settings/constants.hpp"
 #include "wire/peer.hpp"
 
@@ -112,6 +114,25 @@
   levels_.start(now, wall_ms);
 }
 
+bool Controller::alone(Ms now) const {
+  return !platform_.peers.empty() && store_.unreachable(now) && levels_.members().up_now(now) == 0;
+}
+
+// What the others do not need of the store's write rate is the leader's: with a quarter of it fixed for each of two
+// followers that used a twentieth, a fleet's bookkeeping waited for half a minute.
+void Controller::share_writes(Ms now) {
+  if (!leadership_.leading()) return;
+  std::optional<double> sum = 0;
+  for (const auto& p : platform_.peers) {
+    const auto it = needs_.find(p.node);
+    if (it == needs_.end() || now - it->second.at > kPeerSilentMs) sum.reset();
+    if (!sum) break;
+    *sum += it->second.writes_per_s;
+  }
+  if (static_cast<int>(platform_.peers.size()) + 1 != platform_.nodes) sum.reset();
+  store_.others_need(sum);
+}
+
 void Controller::begin(Ms now) {
   if (std::exchange(begun_, true)) return;
   leadership_.start(now);
@@ -167,7 +188,9 @@
   }
   if (now >= next_ping_) {
     next_ping_ = now + kPingMs;
+    share_writes(now);
     auto ping = sign_of_life();
+    ping.needs = 1 + static_cast<std::uint64_t>(std::ceil(store_.needs_writes(now) * 10));
     if (leadership_.wants_promises(now)) {
       ping.kind = wire::PeerMessage::Kind::promise_ask;
       ping.id = leadership_.ask(now);
@@ -265,6 +288,7 @@
   };
   if (path == "/healthz") {
     if (!allow(Method::get)) return;
+    if (alone(now)) return out_.reply(request, 503, wire::error_body("cut off"), kRetryAfterS);
     // A node that does not know the machine types yet can't take submissions.
     if (!front_.knows_types() || !levels_.serving()) return out_.reply(request, 503, wire::error_body("starting"), kRetryAfterS);
     return out_.reply(request, 200, "{}");
@@ -316,14 +340,15 @@
     if (relay_.send_home(now, request, *report)) return;
     return leader_->report(now, request, std::move(*report), Leader::Way::direct);
   }
-  // Without the right to act: name the leader, or send the worker on to the next node.
-  if (levels_.serving() && !leadership_.leader().empty() && leadership_.leader() != platform_.node) {
+  // Without the right to act: name the leader, or send the worker on to the next node, at once where this one reaches nobody:
+  // three seconds of waiting for a leader's answer at each report were the worker's, not this node's.
+  if (!alone(now) && levels_.serving() && !leadership_.leader().empty() && leadership_.leader() != platform_.node) {
     const auto report = wire::parse_report(body);
     if (!report) return out_.reply(request, 400, wire::error_body("not a report"));
     if (relay_.pass_on(now, request, *report, body, until)) return;
     return out_.reply(request, 421, wire::redirect(relay_.home(now, *report)));
   }
-  if (levels_.unsupported()) return out_.reply(request, 503, wire::error_body("not this node"));
+  if (levels_.unsupported() || alone(now)) return out_.reply(request, 503, wire::error_body("not this node"));
   if (parked_.size() >= std::max(kRelayMachines, static_cast<std::size_t>(platform_.max_connections))) return out_.reply(request, 503, wire::error_body("no leader"));
   parked_.push_back({request, std::string(body), until});
 }
@@ -416,6 +441,7 @@
   using Kind = wire::PeerMessage::Kind;
   if (m->kind == Kind::promise_ask || m->kind == Kind::ping) {  // a sign of life, either
     levels_.heard(now, node, m->text);
+    if (m->needs > 0) needs_[node] = {now, static_cast<double>(m->needs - 1) / 10};
     levels_.newer(now, m->b);
     leadership_.heard_term(now, m->a);
   }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -88,6 +88,14 @@
   };
   void send_asked();
   wire::PeerMessage sign_of_life() const;
+  void share_writes(Ms now);
+  // Neither the state service nor another controller has been heard for a while: whoever asks is better served elsewhere.
+  bool alone(Ms now) const;
+  struct Need {
+    Ms at = 0;
+    double writes_per_s = 0;
+  };
+  std::unordered_map<std::string, Need> needs_;  // of the other controllers, as they last said
   Asked asking_;  // by this input
   std::unordered_map<std::uint64_t, Asked> asked_;
   std::uint64_t next_ask_ = 1;
--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -146,7 +146,7 @@
     status = word(*f.over);
   else if (f.live->withdrawn)
     status = wire::kWithdrawn;
-  else if (f.live->mark > 0 && f.live->job.tasks > 1)
+  else if (f.live->mark > kMarkAtOnce)
     status = wire::kRunning;
   out_.reply(request, 200, wire::job_status(id, status));
 }
@@ -155,8 +155,11 @@
   auto parsed = wire::parse_job(body);
   if (!parsed.job && parsed.known_id.empty())
     return deny(request, 400, *parsed.bad);
-  if (store_.crowded(Rank::user)) return refuse(request, Refusal::busy, 429);
   const std::string id = parsed.known_id;
+  // A repeat of what was accepted is never refused for load: it has no write to wait for.
+  if (parsed.job && !final_.contains(id) && copy_.knows(id) && !copy_.final_of(id)) return known_again(now, request, id);
+  if (store_.unreachable(now)) return refuse(request, Refusal::store);
+  if (store_.crowded(Rank::user)) return refuse(request, Refusal::busy, 429);
   std::optional<wire::BadField> never;
   if (parsed.job && knows_types()) never = can_never_run(*parsed.job);
 
@@ -180,9 +183,9 @@
     return answer_known(request, id, f);
   }
 
-  // A job of one task counts as launched from the start, which saves a third of its leader's writes. A mark may be too
-  // high, never too low: where no roster can be believed, its task is in doubt though it may never have been launched.
-  const std::uint32_t mark = parsed.job->tasks == 1 ? 1 : 0;
+  // Its first tasks count as launched from the start, which saves a job's leader one write in four or more. A mark may be too
+  // high, never too low: where no roster can be believed, they are in doubt though they may never have been launched.
+  const std::uint32_t mark = std::min(parsed.job->tasks, kMarkAtOnce);
   wire::LiveRecord record{std::move(*parsed.job), wall_ms, false, mark};
   const std::string value = wire::encode(record);
   if (value.size() > platform_.state_value_kb * 1024)
@@ -192,6 +195,25 @@
   accept(now, request, id, record, true);
 }
 
+void Front::known_again(Ms now, std::uint64_t request, const std::string& id) {
+  if (store_.unreachable(now)) return refuse(request, Refusal::store);
+  view_.ask(now, id, [this, request, id](Ms t, bool known, const LiveView::Job* job) {
+    if (!known) return refuse(request, Refusal::store);
+    if (job != nullptr) {
+      if (job->withdrawn) remember(id, {true, 0});
+      const auto status = job->withdrawn ? wire::kWithdrawn : job->launched ? wire::kRunning : wire::kPending;
+      return out_.reply(request, 200, wire::job_status(id, status));
+    }
+    look_up(t, id, [this, request, id](Ms t2, const Found& f) {
+      if (f.failed) return refuse(request, Refusal::store);
+      if (f.live || f.over) return answer_known(request, id, f);
+      // Neither unfinished nor over by the store, and known all the same.
+      if (on_contradiction) on_contradiction(t2);
+      refuse(request, Refusal::level);
+    });
+  });
+}
+
 void Front::accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, bool again) {
   wire::Txn txn;
   txn.if_version(live_key(id), 0).if_version(over_key(id), 0).put(live_key(id), wire::encode(record));
@@ -224,7 +246,8 @@
   if (const auto it = final_.find(id); it != final_.end()) return tell_final(request, id, it->second);
   if (const auto record = copy_.final_of(id)) return tell_final(request, id, *record);
   if (copy_.is_withdrawn(id)) return tell_final(request, id, {true, 0});
-  if (view_.waiting() >= kPollsMost || store_.crowded(Rank::low)) return refuse(request, Refusal::busy, 429);
+  if (store_.unreachable(now)) return refuse(request, Refusal::store);
+  if (view_.waiting() >= kPollsMost) return refuse(request, Refusal::busy, 429);
   view_.ask(now, id, [this, request, id, before = copy_.knows(id)](Ms t, bool known, const LiveView::Job* job) {
     if (!known) return refuse(request, Refusal::store);
     if (job == nullptr) return final_status(t, request, id, before);
@@ -233,8 +256,8 @@
       return out_.reply(request, 200, wire::job_answer(id, wire::kWithdrawn, 0, 0));
     }
     if (!job->marked) return out_.reply(request, 200, wire::job_answer(id, wire::kPending, 0, 0));
-    ask_(t, id, [this, request, id](Ms, std::optional<Counts> c) {
-      const bool idle = c && c->running == 0;
+    ask_(t, id, [this, request, id, launched = job->launched](Ms, std::optional<Counts> c) {
+      const bool idle = c ? c->running == 0 : !launched;
       out_.reply(request, 200,
                  wire::job_answer(id, idle ? wire::kPending : wire::kRunning, c ? c->done : 0,
                                   c ? c->running : 0));
@@ -248,20 +271,39 @@
 
 // Not among the unfinished: over, or never submitted. Records only move from live/ to over/.
 void Front::final_status(Ms now, std::uint64_t request, const std::string& id, bool known) {
-  store_.get(now, Rank::low, over_key(id), [this, request, id, known](Ms t, int status, std::string_view body) {
-    if (status == 404) return unknown(t, request, known);
+  // Polls that ask the same share the question, and what was asked is read even if whoever asked has given up: the next poll
+  // finds the answer here. Refused at the door by how many wait, one job's polls could lose each time.
+  const auto asked = finals_asked_.find(id);
+  if (asked != finals_asked_.end()) {
+    asked->second.push_back(request);
+    return;
+  }
+  if (finals_asked_.size() >= kPollsMost) return refuse(request, Refusal::busy, 429);
+  finals_asked_[id].push_back(request);
+  store_.get(now, Rank::low, over_key(id), [this, id, known](Ms t, int status, std::string_view body) {
     const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
     const auto record = item ? wire::decode_over(item->value) : std::nullopt;
-    if (!record) return refuse(request, Refusal::store);
-    remember(id, *record);
-    told_final(id, *record);
-    tell_final(request, id, *record);
+    if (record) {
+      remember(id, *record);
+      told_final(id, *record);
+    }
+    const auto waiting = finals_asked_.extract(id);
+    if (waiting.empty()) return;
+    for (const auto each : waiting.mapped()) {
+      if (status == 404)
+        unknown(t, each, known);
+      else if (record)
+        tell_final(each, id, *record);
+      else
+        refuse(each, Refusal::store);
+    }
   });
 }
 
 void Front::cancel(Ms now, std::uint64_t request, const std::string& id, int tries) {
   if (!wire::valid_job_id(id)) return out_.reply(request, 404, wire::error_body("no such job"));
   if (tries >= kCancelTries) return refuse(request, Refusal::again);
+  if (store_.unreachable(now)) return refuse(request, Refusal::store);
   look_up(now, id, [this, request, id, tries, known = copy_.knows(id)](Ms t, const Found& f) {
     if (f.failed) return refuse(request, Refusal::store);
     if (!f.live && !f.over) return unknown(t, request, known);
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -60,6 +60,8 @@
   // `again`: tried once more where it is refused and the job is still unknown.
   void accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, bool again);
   void tell_final(std::uint64_t request, const std::string& id, const wire::OverRecord& record);
+  // A repeat of what this node knows to have been accepted; by the read that polls share, so that it costs no write.
+  void known_again(Ms now, std::uint64_t request, const std::string& id);
   void final_status(Ms now, std::uint64_t request, const std::string& id, bool known);
   // For good.
   void deny(std::uint64_t request, int status, const wire::BadField& bad);
@@ -80,6 +82,7 @@
   void told_live(const std::string& id, const wire::LiveRecord& record);
   void told_final(const std::string& id, const wire::OverRecord& record);
   std::vector<wire::MachineType> types_;
+  std::unordered_map<std::string, std::vector<std::uint64_t>> finals_asked_;  // requests that wait, by job
   std::unordered_map<std::string, wire::OverRecord> final_;
   std::deque<std::string> final_order_;
 };
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <algorithm>
 #include <deque>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,7 @@
   std::uint32_t running = 0;  // placements whose task runs or saves
   std::uint64_t types = 0;
 
+  std::set<std::uint32_t> unsure;  // tasks that an earlier leader may have launched anywhere, until its doubt is over
   std::vector<TaskPhase> phase;
   std::vector<std::uint16_t> places;  // machines that each task may be on
   std::vector<bool> stored;  // completion is in the store
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -35,6 +35,7 @@
       leader_version_(leadership.key_version()),
       wall_minus_steady_(wall_minus_steady),
       roster_on_(op.get("roster", {}) != 0),
+      direct_on_(roster_on_ && op.get("direct", {}) != 0),
       roster_({std::min(kRosterChunkMost, static_cast<std::size_t>(platform.state_value_kb * 1024 * kRosterChunkShare)), kRosterBatchMost,
                platform.state_txn_ops, std::max(1.0, platform.state_write_rps * kStoreShare * (platform.nodes > 1 ? kLeaderShare : 1) * kRosterShare),
                kRosterSoonMs}),
@@ -44,6 +45,7 @@
       selector_(seed + 1, kLambda, admitted(op)) {
   for (const auto& t : platform.teams)
     teams_.push_back({t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max, 0, 0});
+  guests_ = std::any_of(teams_.begin(), teams_.end(), [](const Team& t) { return t.cpus > 0 || t.gpus > 0; });
   policy_ = selector_.chosen();
   params_.slowdown_bound_s = kSlowdownBoundS;
   params_.charge_unit_s = op.get("charge_unit", {});
@@ -100,6 +102,7 @@
 
 void Leader::loaded(Ms now) {
   loaded_ = true;
+  handed_whole_ = roster_on_ && leadership_.roster_whole();
   take_roster(now);
   std::size_t doubt = 0, machines = 0, placed = 0;
   for (auto& [id, job] : jobs_) {
@@ -113,6 +116,7 @@
     for (std::uint32_t t = 0; t < std::min(job->mark, job->spec.tasks); ++t) {
       if (job->phase[t] != TaskPhase::waiting) continue;
       job->set(t, TaskPhase::doubt);
+      job->unsure.insert(t);
       count_team(*job, 1);
       ++doubt;
     }
@@ -289,7 +293,15 @@
   m.tasks.erase(it);
   dirty_ = true;
   // Only when it is nowhere else may the task go back to waiting.
-  if (--job.places[task] == 0 && job.phase[task] == TaskPhase::placed) job.set(task, TaskPhase::waiting);
+  if (--job.places[task] != 0 || job.phase[task] != TaskPhase::placed) return;
+  // That it isn't here says nothing of where an earlier leader may have launched it: a late copy of a report, refuted by the
+  // next, once made a task that ran on a machine not yet heard free to start elsewhere.
+  if (doubt_open_ && job.unsure.contains(task)) {
+    job.set(task, TaskPhase::doubt);
+    count_team(job, 1);
+  } else {
+    job.set(task, TaskPhase::waiting);
+  }
 }
 
 void Leader::set_stage(Placement& p, Stage stage) {
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -71,6 +71,8 @@
     Ms since = 0;      // assigned or launched
     Ms run_since = 0;  // first seen running
     std::uint64_t sent_seq = 0;  // the report whose answer carried the launch
+    // The machine's session that it is of: as launched, or as listed by a report sent in this term. 0: not known.
+    std::uint64_t session = 0;
     bool stopping = false;
     bool room_given = false;  // its room is promised to another task already
     double grace_s = 0;
@@ -78,6 +80,7 @@
     std::uint64_t listed = 0;  // the last report that listed it, by this leader's count
     std::uint64_t booking = 0;  // the roster's batch that names it
     bool booked = false;        // and that is stored: it may be launched
+    bool unsettled = false;     // launched by a direct command that may still be carried out: absence proves nothing
   };
   using TaskKey = std::pair<std::uint64_t, std::uint32_t>;  // job index, task
   struct Machine {
@@ -102,6 +105,13 @@
     Ms held_since = 0, held_most = 0;
     std::map<TaskKey, Placement> tasks;
     std::vector<wire::ReportedTask> reported;  // the newest report's
+    // Attempts of this session whose direct launch may still be carried out: never cleared, or it would start them again.
+    std::set<std::uint64_t> unsettled;
+    bool direct_out = false;    // a direct launch waits for its answer
+    std::uint32_t unheard = 0;  // answers in a row of which nothing came
+    bool deaf = false;          // its reports arrive, and what it is told does not reach it
+    bool probing = false;
+    Ms answered_at = 0, deaf_since = 0, probe_at = 0;
     std::vector<int> images;                   // most recent last
   };
   struct Rental {
@@ -135,9 +145,17 @@
   void failed(Ms now, Machine& m, JobState& job);
   bool answer(Ms now, Machine& m, bool force);
   void stop_direct(Ms now, Machine& m);
+  void launch_direct(Ms now, Machine& m);
+  void direct_answered(Ms now, const std::string& machine, std::uint64_t session, const std::vector<std::pair<TaskKey, std::uint64_t>>& launched, int status, std::string_view body);
+  // The launches that may go out now; booked as sent.
+  std::vector<wire::Command> launches(Ms now, Machine& m, std::size_t most);
+  void not_heard(Ms now, Machine& m, std::uint32_t times = 1);
+  void heard(Machine& m);
+  void probe(Ms now, Machine& m);
+  bool nothing_left(const Machine& m) const;  // of what it listed
   void lease_check(Ms now);
   bool usable(Ms now, const Machine& m) const;
-  bool missed(Ms now, const Machine& m) const;  // silent for so long that it is most likely gone
+  bool missed(Ms now, const Machine& m) const;  // silent for so long that it is most likely gone, or deaf
 
   // accounting
   void occupy(Machine& m, JobState& job, std::uint32_t task, Placement p);
@@ -251,7 +269,10 @@
   bool loaded_ = false, doubt_open_ = true, dirty_ = true, settled_ = false;
   std::size_t nowhere_ = 0, silent_ = 0;  // tasks found on no machine, and machines that stayed silent
 
-  const bool roster_on_;
+  const bool roster_on_, direct_on_;  // direct_on_: launches may go to machines by themselves
+  bool guests_ = false;  // some team is guaranteed something, so that those without a guarantee come after it
+  // At the takeover: what the roster does not have is nowhere, whatever a late report says.
+  bool handed_whole_ = false;
   roster::Roster roster_;
   struct StoredChunk {
     std::uint32_t chunk = 0;
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -272,13 +272,15 @@
                          now - m->known > kStuckMs + lease_ms(platform_);
       const bool lost = m->lost && now - m->lost_at > kLostReturnMs;
       // Its notice has run out, or nothing is left on it: once returned, its tasks are surely gone.
-      const bool taken = m->taken_at != 0 && ((m->tasks.empty() && m->reported.empty()) || now - m->last_report > silent_ms(platform_));
-      const bool emptied = m->emptying && m->tasks.empty() && m->reported.empty();
+      const bool taken = m->taken_at != 0 && ((m->tasks.empty() && nothing_left(*m)) || now - m->last_report > silent_ms(platform_));
+      const bool emptied = m->emptying && m->tasks.empty() && nothing_left(*m);
       const bool drained = m->draining && m->tasks.empty();
-      const bool idle = m->up && m->confirmed && !m->lost && m->tasks.empty() && m->reported.empty() &&
+      // What replaces it is there, and it has had time to be heard of again.
+      const bool deaf = m->deaf && m->tasks.empty() && now - m->deaf_since > lease_ms(platform_) + kLostReturnMs;
+      const bool idle = m->up && m->confirmed && !m->lost && m->tasks.empty() && nothing_left(*m) &&
                         age >= static_cast<Ms>(kLeastPaidS * 1000) - kReturnWindowMs &&
                         unit - age % unit <= kReturnWindowMs && now - m->idle_since >= keep_ms(*m);
-      if (!(stuck || lost || taken || emptied || drained || idle || m->failed)) continue;
+      if (!(stuck || lost || taken || emptied || drained || deaf || idle || m->failed)) continue;
       if (!m->tasks.empty() && !m->failed && !taken) continue;
       m->releasing = true;
       using telemetry::Back;
@@ -288,6 +290,7 @@
                                : taken     ? std::pair{Back::taken, "taken"}
                                : m->failed ? std::pair{Back::failed, "failed"}
                                : drained   ? std::pair{Back::faulty, "faulty"}
+                               : deaf      ? std::pair{Back::deaf, "deaf"}
                                            : std::pair{Back::idle, "idle"};
       log(Event::machine_returned, m->name, word);
       out_.figures().add(telemetry::Count::returned, why);
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -75,10 +75,11 @@
          (job.spec.gpus <= 0 || team.used_gpus + job.spec.gpus <= team.gpus_max + eps);
 }
 
-// Its team is guaranteed nothing and takes what the others leave.
+// Its team is guaranteed nothing and takes what the others leave. Where nobody is guaranteed anything there are no guests:
+// a deployment of one team without guarantee had all its launch marks wait behind everything else, for half a minute.
 bool Leader::is_guest(const JobState& job) const {
   const auto& team = teams_[static_cast<std::size_t>(job.team)];
-  return team.cpus <= 0 && team.gpus <= 0;
+  return guests_ && team.cpus <= 0 && team.gpus <= 0;
 }
 
 // One more task of the job is within what its team is guaranteed, counting what the team uses now. A job that
@@ -222,9 +223,9 @@
   m.images.push_back(job.image);
   if (m.images.size() > kImagesKnown) m.images.erase(m.images.begin());
   if (task >= job.mark_wanted) {
-    // Stored before the first launch beyond it; doubled, so that a large job costs few writes while
+    // Stored before the first launch beyond it; four times as far, so that a large job costs few writes while
     // a new leader still need not doubt tasks that were never launched.
-    job.mark_wanted = std::min(job.spec.tasks, std::max({task + 1, 2 * job.mark_wanted, 32U}));
+    job.mark_wanted = std::min(job.spec.tasks, std::max({task + 1, 4 * job.mark_wanted, kMarkAtOnce}));
   }
 }
 
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -11,12 +11,58 @@
 using portfolio::Size;
 
 bool Leader::usable(Ms now, const Machine& m) const {
-  return m.up && m.confirmed && !m.lost && !m.draining && !m.emptying && !m.releasing && !m.failed && m.taken_at == 0 &&
+  return m.up && m.confirmed && !m.lost && !m.deaf && !m.draining && !m.emptying && !m.releasing && !m.failed && m.taken_at == 0 &&
          now - m.last_report < silent_ms(platform_);
 }
 
 bool Leader::missed(Ms now, const Machine& m) const {
-  return m.up && !m.lost && !m.failed && !m.releasing && m.taken_at == 0 && now - m.last_report > silent_ms(platform_) + kMissedMs;
+  return m.up && !m.lost && !m.failed && !m.releasing && m.taken_at == 0 && (m.deaf || now - m.last_report > silent_ms(platform_) + kMissedMs);
+}
+
+// What it is told does not reach it, though its reports arrive: launches that never show, a token that stays behind, a session
+// that ends though its reports were answered. It gets nothing more, counts as missing, so that what replaces it is
+// rented, and is asked directly from time to time whether it can be reached again. Its tasks count as there until they are
+// proved gone, like anybody's: a lease that no answer renews is over by itself, and its next report tells.
+void Leader::not_heard(Ms now, Machine& m, std::uint32_t times) {
+  m.unheard += times;
+  if (m.deaf || m.unheard < kDeafAnswers) return;
+  m.deaf = true;
+  m.deaf_since = now;
+  m.probe_at = now + kDeafProbeMs;
+  log(Event::machine_deaf, m.name, m.tasks.size());
+}
+
+void Leader::heard(Machine& m) {
+  m.unheard = 0;
+  if (std::exchange(m.deaf, false)) log(Event::machine_hears, m.name);
+}
+
+void Leader::probe(Ms now, Machine& m) {
+  if (!m.deaf || m.probing || now < m.probe_at || m.addr.empty() || !may_act(now)) return;
+  m.probing = true;
+  HttpCall c;
+  c.target = Target::worker;
+  c.addr = m.addr;
+  c.path = "/status";
+  c.timeout_ms = kWorkerTimeoutMs;
+  out_.call(std::move(c), mine([this, name = m.name](Ms t, int status, std::string_view) {
+    const auto it = machines_.find(name);
+    if (it == machines_.end()) return;
+    it->second->probing = false;
+    it->second->probe_at = t + kDeafProbeMs;
+    // A first launch shows whether answers reach it, too.
+    if (status != 200) return;
+    heard(*it->second);
+    it->second->unheard = kDeafAnswers - 1;
+    dirty_ = true;
+  }));
+}
+
+// An attempt that is kept listed because its launch may still come is nothing that anybody waits for.
+bool Leader::nothing_left(const Machine& m) const {
+  return std::all_of(m.reported.begin(), m.reported.end(), [&](const wire::ReportedTask& t) {
+    return t.state == wire::TaskState::ended && m.unsettled.contains(t.attempt);
+  });
 }
 
 void Leader::report(Ms now, std::uint64_t request, wire::Report report, Way way) {
@@ -61,14 +107,20 @@
     m->held.reset();
   }
   if (r->session > m->session && m->session != 0) {
-    // A new session begins without tasks.
+    // A new session begins without tasks: what is known to be of an earlier one is gone. What the roster names may be of this
+    // session or a later one: the first report of a term can be a late copy of a session long past, and the next one, that
+    // of the session in which the task runs, once made it start elsewhere (seed 70).
     for (auto p = m->tasks.begin(); p != m->tasks.end();) {
       const auto key = p->first;
-      const bool sent = p->second.stage != Stage::assigned;
+      const bool over = p->second.stage != Stage::assigned && p->second.session != 0 && p->second.session < r->session;
       ++p;
-      if (sent) gone(now, *m, key);
+      if (over) gone(now, *m, key);
     }
     log(Event::machine_session, m->name, r->session);
+    // No launch of an earlier session is carried out in this one.
+    m->unsettled.clear();
+    // Its lease ran out though it was answered all along. One that hung, or was cut off, was not.
+    if (m->confirmed && m->answered_at != 0 && now - m->answered_at < lease_ms(platform_) / 2) not_heard(now, *m, kDeafAnswers);
   }
   if (!m->up) m->idle_since = now;
   m->up = true;
@@ -82,6 +134,10 @@
   if (r->token == term_) m->rostered = false;
   if (!m->confirmed && r->token == term_)
     out_.figures().observe(telemetry::Spread::confirm_s, static_cast<double>(now - began_) / 1000);
+  if (r->token == term_ && !m->confirmed)
+    heard(*m);
+  else if (r->token < term_ && m->answered_at != 0)
+    not_heard(now, *m);
   m->confirmed = r->token == term_;
   if (r->notice_s && m->taken_at == 0) {
     // The notice may be half as long as announced.
@@ -123,6 +179,7 @@
 
 void Leader::take_tasks(Ms now, Machine& m, const wire::Report& r) {
   const auto listed = ++reports_;
+  bool hears = false, swallowed = false;
   for (const auto& t : r.tasks) {
     auto* job = find(t.job);
     if (job == nullptr || t.task >= job->spec.tasks) continue;
@@ -146,6 +203,7 @@
         if (find(t.job) != job) continue;  // that was its last task
         if (auto p = m.tasks.find(key); p != m.tasks.end()) gone(now, m, key);
       } else if (it != m.tasks.end() && it->second.attempt == t.attempt && it->second.stage != Stage::assigned) {
+        hears = hears || it->second.stage == Stage::sent;
         // `busy` means that another attempt of this task is on this very machine; the report lists
         // it too, and then it is taken up below.
         log(Event::task_ended, t.job, t.task, m.name, wire::name(t.cause), ran_s(now, it->second));
@@ -163,6 +221,10 @@
       continue;
     }
     if (it == m.tasks.end()) {
+      // The roster that this leader was handed has all that its predecessors launched and nobody proved gone. A report of
+      // before this term that lists something else is late, a copy perhaps of one that came minutes ago: believed, it had work
+      // that runs elsewhere held for a lease by a machine that was returned.
+      if (handed_whole_ && r.token < term_ && t.attempt >> kAttemptBits < term_) continue;
       // An earlier leader's launch, or one that was thought gone. Presence is believed from anyone.
       Placement p;
       p.since = now;
@@ -173,8 +235,11 @@
       it = m.tasks.find(key);
     }
     auto& p = it->second;
+    hears = hears || (p.stage == Stage::sent && p.sent_seq != 0 && p.attempt == t.attempt);
     p.attempt = t.attempt;
     p.listed = listed;
+    if (r.token == term_) p.session = r.session;
+    p.unsettled = false;  // it is there; what may still come of its launch finds it there
     if (t.state != wire::TaskState::fetching && t.state != wire::TaskState::saving && p.run_since == 0 &&
         p.stage != Stage::assigned) {
       p.run_since = now;
@@ -192,14 +257,23 @@
   if (r.token != term_) return;
   std::vector<TaskKey> absent;
   for (const auto& [key, p] : m.tasks)
-    if (p.stage != Stage::assigned && p.sent_seq < r.seq && p.listed != listed) absent.push_back(key);
+    if (p.stage != Stage::assigned && p.sent_seq < r.seq && p.listed != listed) {
+      swallowed = swallowed || (p.stage == Stage::sent && p.sent_seq != 0 && !p.stopping);
+      // A direct launch that was not answered may be carried out as long as the session lasts: until then the task is here.
+      if (!p.unsettled) absent.push_back(key);
+    }
   for (const auto& key : absent) gone(now, m, key);
+  if (hears)
+    heard(m);
+  else if (swallowed)
+    not_heard(now, m);
 }
 
 void Leader::completed(Ms now, Machine& m, JobState& job, std::uint32_t task) {
   if (job.phase[task] == TaskPhase::done) return;
   if (job.phase[task] == TaskPhase::doubt) count_team(job, -1);
   job.set(task, TaskPhase::done);
+  if (job.progress_at == 0) job.progress_at = now;
   began_to_run(job);
   out_.figures().add(telemetry::Count::completions);
   job.not_before = 0;
@@ -248,6 +322,7 @@
     auto* job = find(t.job);
     const bool known = job != nullptr && t.task < job->spec.tasks;
     if (t.state == wire::TaskState::ended) {
+      if (m.unsettled.contains(t.attempt)) continue;
       // A completion is stored before the worker may forget it.
       if (!known || t.cause != wire::Cause::done || job->stored[t.task])
         commands.push_back({wire::Command::Op::forget, t.job, t.task, t.attempt, 0});
@@ -263,34 +338,107 @@
       it->second.stop_sent = now;
     }
   }
-  if (m.assigned > 0 && usable(now, m)) {
-    // Room as it is, tasks being stopped included: an assignment may be waiting for them to go.
-    Size room = m.whole;
-    for (auto& [key, p] : m.tasks)
-      if (p.stage != Stage::assigned) room.add(size_of(p.job->spec), -1);
+  // A direct launch that was not answered, and does not show: the same attempt once more, which has no effect where it was
+  // carried out meanwhile. That of a withdrawn job too, to be stopped at once: from then on the machine knows the attempt,
+  // and a launch that comes late starts nothing.
+  if (!m.unsettled.empty() && !m.direct_out)
     for (auto& [key, p] : m.tasks) {
-      if (commands.size() >= kCommandsMost) break;
-      if (!size_of(p.job->spec).fits(room)) continue;
-      // Dropped as late as possible: a job withdrawn meanwhile starts nothing.
-      if (p.stage != Stage::assigned || !p.booked || !p.job->active() || p.task >= p.job->mark) continue;
-      p.stage = Stage::sent;
-      --m.assigned;
-      p.attempt = (term_ << kAttemptBits) | next_attempt_++;
-      p.sent_seq = m.seq;
-      p.since = now;
-      room.add(size_of(p.job->spec), -1);
+      if (!p.unsettled || p.stage == Stage::assigned || commands.size() + 2 > kCommandsMost) continue;
       commands.push_back({wire::Command::Op::start, p.job->spec.id, p.task, p.attempt, 0});
-      out_.figures().add(telemetry::Count::launches);
+      p.sent_seq = m.seq;
+      if (p.stopping || !p.job->active()) commands.push_back({wire::Command::Op::stop, p.job->spec.id, p.task, p.attempt, 0});
     }
-  }
+  if (usable(now, m))
+    for (auto& c : launches(now, m, kCommandsMost - std::min(commands.size(), kCommandsMost))) commands.push_back(std::move(c));
   if (commands.empty() && !force) return false;
   out_.reply(*m.held, 200, wire::report_answer(term_, commands));
   m.held.reset();
+  m.answered_at = now;
   // The worker counts its lease from when it sent this report, which was before we received it.
   m.lease_over = std::max(m.lease_over, m.held_since + lease_ms(platform_));
   return true;
 }
 
+std::vector<wire::Command> Leader::launches(Ms now, Machine& m, std::size_t most) {
+  std::vector<wire::Command> commands;
+  if (m.assigned == 0) return commands;
+  // Room as it is, tasks being stopped included: an assignment may be waiting for them to go.
+  Size room = m.whole;
+  for (auto& [key, p] : m.tasks)
+    if (p.stage != Stage::assigned) room.add(size_of(p.job->spec), -1);
+  for (auto& [key, p] : m.tasks) {
+    if (commands.size() >= most) break;
+    if (!size_of(p.job->spec).fits(room)) continue;
+    // Dropped as late as possible: a job withdrawn meanwhile starts nothing.
+    if (p.stage != Stage::assigned || !p.booked || !p.job->active() || p.task >= p.job->mark) continue;
+    p.stage = Stage::sent;
+    --m.assigned;
+    p.attempt = (term_ << kAttemptBits) | next_attempt_++;
+    p.sent_seq = m.seq;
+    p.session = m.session;
+    p.since = now;
+    room.add(size_of(p.job->spec), -1);
+    commands.push_back({wire::Command::Op::start, p.job->spec.id, p.task, p.attempt, 0});
+    out_.figures().add(telemetry::Count::launches);
+  }
+  return commands;
+}
+
+// Where the next report is seconds away, a launch that is stored goes to the machine itself. It may be carried out late, as
+// long as token and session are the same: docs/safety.md, "Direct launches", says why that breaks nothing.
+void Leader::launch_direct(Ms now, Machine& m) {
+  if (!direct_on_ || m.held || m.direct_out || m.unheard > 0 || m.assigned == 0 || m.addr.empty() || !usable(now, m) || !may_act(now)) return;
+  if (m.last_report + report_ms(platform_) - now < kDirectWorthMs) return;
+  const auto commands = launches(now, m, kCommandsMost);
+  if (commands.empty()) return;
+  std::vector<std::pair<TaskKey, std::uint64_t>> launched;
+  for (auto& [key, p] : m.tasks)
+    if (p.stage == Stage::sent && std::any_of(commands.begin(), commands.end(), [&](const auto& c) { return c.attempt == p.attempt; })) {
+      p.unsettled = true;
+      m.unsettled.insert(p.attempt);
+      launched.push_back({key, p.attempt});
+    }
+  m.direct_out = true;
+  HttpCall c;
+  c.target = Target::worker;
+  c.addr = m.addr;
+  c.method = Method::post;
+  c.path = "/commands";
+  c.body = wire::direct_commands(term_, m.session, commands);
+  c.timeout_ms = kWorkerTimeoutMs;
+  out_.figures().add(telemetry::Count::direct_launches, static_cast<double>(commands.size()));
+  out_.call(std::move(c), mine([this, name = m.name, session = m.session, launched = std::move(launched)](Ms t, int status, std::string_view body) {
+    direct_answered(t, name, session, launched, status, body);
+  }));
+}
+
+void Leader::direct_answered(Ms now, const std::string& machine, std::uint64_t session,
+                             const std::vector<std::pair<TaskKey, std::uint64_t>>& launched, int status, std::string_view body) {
+  const auto found = machines_.find(machine);
+  if (found == machines_.end()) return;
+  auto& m = *found->second;
+  m.direct_out = false;
+  if (m.session != session) return;  // nothing of it is left, nor will be
+  const auto report = status == 200 ? wire::parse_report(body) : std::nullopt;
+  const bool refused = status == 409 || status == 400;
+  if (!report && !refused) {
+    // It may be carried out yet. The next answer says it again.
+    not_heard(now, m);
+    return;
+  }
+  for (const auto& [key, attempt] : launched) {
+    m.unsettled.erase(attempt);
+    const auto it = m.tasks.find(key);
+    if (it == m.tasks.end() || it->second.attempt != attempt || it->second.stage != Stage::sent) continue;
+    it->second.unsettled = false;
+    if (refused)
+      gone(now, m, key);
+    else if (report->session == session)
+      it->second.sent_seq = report->seq;  // what was sent after this one lists it
+  }
+  if (m.assigned > 0) launch_direct(now, m);
+}
+
 void Leader::stop_direct(Ms now, Machine& m) {
   if (m.addr.empty() || !may_act(now)) return;
   std::vector<wire::Command> commands;
@@ -324,6 +472,7 @@
       if (!machines_.contains(name)) roster_.remove(now, name);
     strangers_.clear();
     for (auto& [id, job] : jobs_) {
+      job->unsure.clear();
       if (job->doubt == 0) continue;
       nowhere_ += job->doubt;
       for (std::uint32_t t = 0; t < job->spec.tasks; ++t)
@@ -340,6 +489,7 @@
   // Without the right to act it answers nobody, and says no leases are over that a successor may have renewed.
   if (!may_act(now)) return;
   for (auto* m : fleet_) {
+    if (m->deaf) probe(now, *m);
     if (m->lost || !(m->up || m->rostered) || now <= m->lease_over) continue;
     if (m->rostered) {
       ++silent_;
@@ -354,6 +504,7 @@
       out_.reply(*m->held, 503, wire::error_body("lease over"));
       m->held.reset();
     }
+    m->unsettled.clear();  // its session is over
     log(Event::machine_lost, m->name, m->tasks.size());
     out_.figures().add(telemetry::Count::leases_lost);
     out_.figures().add(telemetry::Count::tasks_lost, static_cast<double>(m->tasks.size()));
--- a/src/core/leader_roster.cpp
+++ b/src/core/leader_roster.cpp
@@ -70,6 +70,7 @@
       if (stranger) {
         if (job->phase[t] != TaskPhase::waiting) continue;
         job->set(t, TaskPhase::doubt);
+        job->unsure.insert(t);
         count_team(*job, 1);
         continue;
       }
@@ -121,6 +122,7 @@
 void Leader::write_roster(Ms now) {
   if (!roster_on_ || !loaded_ || !leadership_.leading() || !leadership_.may_write_roster()) return;
   reread_roster(now);
+  roster_.set_rate(std::max(1.0, store_.write_rate() * kRosterShare));
   while (auto batch = roster_.next(now, [this](const roster::Names& m, std::uint64_t b) { return describe(m, b); })) {
     wire::Txn txn;
     txn.if_version("leader", leader_version_);
@@ -157,7 +159,10 @@
         p.booked = true;
         out_.figures().observe(telemetry::Spread::roster_s, static_cast<double>(now - p.since) / 1000);
       }
-      if (m.held) answer(now, m, false);
+      if (m.held)
+        answer(now, m, false);
+      else
+        launch_direct(now, m);
     }
   if (whole_after_ != 0 && !making_whole_ && roster_.stored_since(whole_after_)) {
     making_whole_ = true;
--- a/src/core/leader_store.cpp
+++ b/src/core/leader_store.cpp
@@ -15,7 +15,10 @@
   if (job.withdrawn && job.empty()) return finish(now, job);
   std::vector<std::size_t> chunks;
   // One write for each task that ends took most of what a fleet may write; until then the worker goes on listing it.
-  for (std::size_t c = 0; c < job.chunks() && now >= job.progress_at; ++c)
+  // Where the store is the bottleneck it waits longer: with 30 writes a second for 1,650 machines two hundred transactions
+  // waited, and launches behind them for half a minute.
+  const bool progress = now >= job.progress_at && (store_.backlog_s() <= kProgressBacklogS || now - job.progress_at >= kProgressMostMs);
+  for (std::size_t c = 0; c < job.chunks() && progress; ++c)
     if (job.chunk_dirty[c] && static_cast<int>(chunks.size()) < platform_.state_txn_ops - 1) chunks.push_back(c);
   const bool mark = job.mark_wanted > job.mark && !job.withdrawn;
   if (chunks.empty() && !mark) return;
--- a/src/core/live_view.cpp
+++ b/src/core/live_view.cpp
@@ -71,7 +71,7 @@
   }
   // A record that can't be read is a job all the same, and must not be called unknown.
   const auto record = wire::decode_live(value);
-  jobs_[id] = {record && record->withdrawn, record && record->mark > 0, version};
+  jobs_[id] = {record && record->withdrawn, record && record->mark > 0, record && record->mark > kMarkAtOnce, version};
   if (on_record && record) on_record(id, value, *record, version);
 }
 
--- a/src/core/live_view.hpp
+++ b/src/core/live_view.hpp
@@ -17,6 +17,7 @@
  public:
   struct Job {
     bool withdrawn = false, marked = false;  // marked: tasks of it may have been launched
+    bool launched = false;                   // and some surely were, or were about to be
     std::uint64_t version = 0;
   };
   // `known` is false where the store could not be asked. `job` is null where no unfinished job has the id.
--- a/src/core/store_client.cpp
+++ b/src/core/store_client.cpp
@@ -1,6 +1,7 @@
 #include "core/store_client.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "settings/constants.hpp"
 
@@ -41,6 +42,21 @@
   requests_.set_rate(rps_ * share, rps_ * share);
 }
 
+void StoreClient::others_need(std::optional<double> writes_per_s) {
+  if (!leading_ || nodes_ <= 1) return;
+  const double theirs = write_rps_ * (1 - kLeaderShare);
+  const double rate = write_rps_ - std::min(theirs, writes_per_s.value_or(theirs));
+  writes_.set_rate(rate, rate);
+}
+
+double StoreClient::needs_writes(Ms now) {
+  used_ *= std::exp(-static_cast<double>(now - used_at_) / 1000);
+  used_at_ = now;
+  return std::min(writes_.rate(), 1 + kNeedsSpare * used_ + waiting_writes_);
+}
+
+double StoreClient::backlog_s() const { return waiting_writes_ / std::max(writes_.rate(), 0.1); }
+
 void StoreClient::get(Ms now, Rank rank, std::string_view key, Done done) {
   call(now, rank, Method::get, wire::get_path(key), {}, std::move(done));
 }
@@ -132,6 +148,7 @@
 
 void StoreClient::enqueue(Ms now, Rank rank, Waiting w) {
   if (w.born == 0) w.born = now;
+  waiting_writes_ += w.writes;
   queues_[static_cast<std::size_t>(rank)].of(w.writes > 0).push_back(std::move(w));
   pump(now);
 }
@@ -150,6 +167,11 @@
   q.pop_front();
   requests_.take(1);
   writes_.take(next.writes);
+  waiting_writes_ -= next.writes;
+  if (next.writes > 0) {
+    used_ = used_ * std::exp(-static_cast<double>(now - used_at_) / 1000) + next.writes;
+    used_at_ = now;
+  }
   send(now, static_cast<Rank>(rank), std::move(next));
   return true;
 }
@@ -163,6 +185,12 @@
                writes_waiting(Rank::first) + writes_waiting(Rank::leader) + writes_waiting(Rank::late));
     written_ = {};
   }
+  // Questions about jobs that are over come last, and none of them may wait for as long as others come: the oldest has
+  // its turn a few times a second.
+  constexpr auto kLow = static_cast<std::size_t>(Rank::low);
+  if (now >= low_at_ && !queues_[kLow].reads.empty() && now - queues_[kLow].reads.front().born > kOldestMs) {
+    if (send_next(now, kLow, false)) low_at_ = now + kOldestEveryMs;
+  }
   constexpr auto kUser = static_cast<std::size_t>(Rank::user);
   bool writes = true;  // a write of higher rank that waits keeps its tokens from lower ones
   for (std::size_t r = 0; r < queues_.size(); ++r) {
@@ -226,6 +254,12 @@
                       : status == 0   ? CallResult::unanswered
                                       : CallResult::other;
   out_.figures().add(telemetry::Count::store_calls, result);
+  if (status != 0) {
+    unanswered_ = 0;
+    answer_at_ = now;
+  } else if (!w.call.watch) {
+    ++unanswered_;
+  }
   if (!w.call.watch && status != 0) out_.figures().observe(telemetry::Spread::store_s, static_cast<double>(now - w.born) / 1000);
   if (status != 0 && status != 503) {
     if (down_) out_.log(Event::store_up, static_cast<double>(now - failing_since_) / 1000);
--- a/src/core/store_client.hpp
+++ b/src/core/store_client.hpp
@@ -73,6 +73,16 @@
   void heed_losses() { heeds_ = true; }
 
   void lead(bool leading);  // the leader has the larger part of the rates
+  // While leading: what the others say they need of the write rate, in writes a second; the rest is the leader's. Nothing:
+  // somebody has not said, and may use its whole part.
+  void others_need(std::optional<double> writes_per_s);
+  // What this node needs of the write rate in the next second, by the last one and by what waits; at most its part.
+  double needs_writes(Ms now);
+  double write_rate() const { return writes_.rate(); }
+  // s of this node's write rate that already wait.
+  double backlog_s() const;
+  // Nothing has come from the store for a while: not even a refusal, as in an outage.
+  bool unreachable(Ms now) const { return unanswered_ >= kUnanswered && now - answer_at_ > kSilentMs; }
   void pump(Ms now);
   bool crowded(Rank rank) const;  // its calls already wait for a second's worth of the budget
 
@@ -99,6 +109,13 @@
   int nodes_;
   Bucket requests_, writes_;
   Bucket users_;  // what users' writes on the leader's node may take while the leader's own wait
+  static constexpr int kUnanswered = 2;     // calls in a row: one may have been lost
+  static constexpr Ms kSilentMs = 1600;     // and as long as a call may take
+  int unanswered_ = 0;
+  Ms answer_at_ = 0;
+  double used_ = 0;  // writes sent, fading within a second
+  double waiting_writes_ = 0;
+  Ms used_at_ = 0, low_at_ = 0;
   bool leading_ = false;
   std::deque<std::uint64_t> shunned_;
   std::array<std::int64_t, 7> written_{};  // by telemetry::Write, since it was last told
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -29,6 +29,8 @@
   explicit Roster(Limits limits) : limits_(limits) {}
 
   // What the store holds; before anything else.
+  // Chunks that may be written a second from now on: what the leader has of the store's rate moves.
+  void set_rate(double writes_per_s) { limits_.writes_per_s = writes_per_s; }
   void load(std::uint32_t chunk, std::uint64_t version, const Names& machines);
 
   void add(Ms now, const std::string& machine);
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -88,8 +88,19 @@
 // users wait 5 s, and whoever is refused comes again in a second.
 inline constexpr double kStoreQueueS = 1;
 inline constexpr std::size_t kStoreQueueLeast = 8;
+// What a node says it needs of the write rate, times what it used in the last second: a rise of half is told in time.
+inline constexpr double kNeedsSpare = 1.5;
+// ms after which the oldest question about a job that is over goes before newer ones of other ranks, and between two such.
+inline constexpr std::int64_t kOldestMs = 500, kOldestEveryMs = 250;
 // ms between two writes of a job's progress, unless it is over: the tasks that end meanwhile share one.
 inline constexpr std::int64_t kProgressMs = 1000;
+// s of the leader's write rate that may wait before progress waits too, and ms that it waits at most: workers go on listing
+// what is done, so that only what ends on a machine that is then lost is done once more.
+inline constexpr double kProgressBacklogS = 0.3;
+inline constexpr std::int64_t kProgressMostMs = 10'000;
+// Tasks of a job that count as launched from its acceptance, which saves the write of its first launch mark: no more than
+// that first mark was.
+inline constexpr std::uint32_t kMarkAtOnce = 32;
 // Items in a page of a range read: job records are under 1 KB, so a page stays far below 512 KiB.
 inline constexpr std::uint32_t kPageItems = 200;
 // Tasks in one progress chunk: 1 KiB of bits, 2 KiB of hex, within the smallest value limit.
@@ -141,6 +152,13 @@
 // ms. Time allowed for a direct command.
 inline constexpr std::int64_t kWorkerTimeoutMs = 2000;
 
+// ms. A launch is sent to the machine itself where its next report is expected no sooner: a call costs about what two
+// reports do, and a shorter wait is not worth it.
+inline constexpr std::int64_t kDirectWorthMs = 1500;
+// Answers in a row of which nothing came, from which a machine counts as deaf, and ms between two direct questions to it.
+inline constexpr std::uint32_t kDeafAnswers = 2;
+inline constexpr std::int64_t kDeafProbeMs = 5000;
+
 // Images of a machine's cache that are remembered; more than any cache here holds.
 inline constexpr std::size_t kImagesKnown = 16;
 // Share of the node's processor that placement may use on average: after each placement the next one
--- a/src/settings/expression.cpp
+++ b/src/settings/expression.cpp
@@ -207,6 +207,7 @@
     {"replay_share", Type::number, 0.01, 0.5, kReplayShare},
     {"admit", Type::boolean, 0, 1, 1},
     {"roster", Type::boolean, 0, 1, 1},
+    {"direct", Type::boolean, 0, 1, 1},
     {"level_most", Type::number, 1, 1000, 1000},
 };
 const std::vector<InputName> kState = {{"queue_jobs", Type::number}, {"queue_tasks", Type::number}, {"machines", Type::number}};
@@ -329,7 +330,7 @@
       out.problems.push_back({number, equals + 2, std::string("a ") + name(e.type()), std::string("a ") + name(setting->type)});
       continue;
     }
-    if ((k == "roster" || k == "level_most") && !e.constant()) {
+    if ((k == "roster" || k == "direct" || k == "level_most") && !e.constant()) {
       out.problems.push_back({number, equals + 2, "an expression with inputs", "a value without inputs: it is asked once, at the start"});
       continue;
     }
--- a/src/telemetry/events.hpp
+++ b/src/telemetry/events.hpp
@@ -60,6 +60,8 @@
   machine_session,
   machine_notice,
   machine_lost,
+  machine_deaf,
+  machine_hears,
   machine_failed,
   machine_rented,
   machine_refused,
--- a/src/telemetry/figures.hpp
+++ b/src/telemetry/figures.hpp
@@ -20,6 +20,7 @@
   store_calls,  // by result
   store_writes, // by what
   launches,
+  direct_launches,
   completions,
   failures,
   stops,  // by why
@@ -50,7 +51,7 @@
 enum class CallResult : std::uint8_t { ok, conflict, missing, crowded, refused, unanswered, other };
 enum class Write : std::uint8_t { user, mark, progress, final, roster, relay, lead };
 enum class Stop : std::uint8_t { preempted, emptied, notice, withdrawn };
-enum class Back : std::uint8_t { idle, lost, emptied, taken, failed, faulty, stuck };
+enum class Back : std::uint8_t { idle, lost, emptied, taken, failed, faulty, deaf, stuck };
 
 class Figures {
  public:
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -47,6 +47,7 @@
   put_varint(out, m.a);
   put_varint(out, m.b);
   put_text(out, m.text);
+  if (m.needs != 0) put_varint(out, m.needs);
   return out;
 }
 
@@ -58,6 +59,7 @@
   m.a = in.integer();
   m.b = in.integer();
   m.text = in.text();
+  if (in.ok() && !in.at_end()) m.needs = in.integer();
   // Bytes after the known fields are a newer version's and are ignored.
   if (!in.ok() || kind < 1 || kind > 9) return std::nullopt;
   m.kind = static_cast<PeerMessage::Kind>(kind);
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -24,6 +24,9 @@
   Kind kind = Kind::count_ask;
   std::uint64_t id = 0, a = 0, b = 0;
   std::string text;
+  // With a sign of life: tenths of writes a second that the sender needs of the store, and one; 0: it does not say, as
+  // versions before this field.
+  std::uint64_t needs = 0;
 };
 // Tasks of a job that are done and running; `known` is false where the leader doesn't know the job.
 struct JobCounts {
