--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -58,6 +58,7 @@
   const char* text = why == Refusal::busy    ? "busy"
                      : why == Refusal::store ? "the store can't be asked"
                      : why == Refusal::types ? "machine types not known yet"
+                     : why == Refusal::promised ? "a leader that can't read the store has to know of the cancellation first"
                      : why == Refusal::level ? "the level of the stored state is not known yet, or not to this version"
                                              : "try again";
   out_.log(Event::request_refused, status, text);
@@ -150,7 +151,7 @@
 }
 
 void Front::tell_withdrawn(Ms now, std::uint64_t request, const std::string& id, std::string body) {
-  if (!copy_.final_of(id) && may_tell_withdrawn && !may_tell_withdrawn(now, id)) return refuse(request, Refusal::again);
+  if (!copy_.final_of(id) && may_tell_withdrawn && !may_tell_withdrawn(now, id)) return refuse(request, Refusal::promised);
   out_.reply(request, 200, std::move(body));
 }
 
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -30,7 +30,7 @@
       {"hitchfront_reports_total", "Workers' reports that the leader took", "way", kWays},
       {"hitchfront_relayed_total", "Workers' reports passed on to the leader", "way", kWays},
       {"hitchfront_refusals_total", "Requests of users that were refused", "reason",
-       {"busy", "store", "types", "malformed", "never_runs", "try_again", "unknown", "level"}},
+       {"busy", "store", "types", "malformed", "never_runs", "try_again", "unknown", "level", "promised"}},
       {"hitchfront_store_calls_total", "Calls of the state service", "result",
        {"ok", "conflict", "missing", "crowded", "refused", "unanswered", "other"}},
       {"hitchfront_store_writes_total", "Puts and deletes asked of the state service: what users submit and cancel, launch marks, progress, final states, the roster, relayed reports, and what leadership and levels take",
--- a/src/telemetry/figures.hpp
+++ b/src/telemetry/figures.hpp
@@ -47,7 +47,7 @@
 
 // Labels, as places in the table's lists.
 enum class Way : std::uint8_t { direct, peer, store };
-enum class Refusal : std::uint8_t { busy, store, types, malformed, never, again, unknown, level };
+enum class Refusal : std::uint8_t { busy, store, types, malformed, never, again, unknown, level, promised };
 enum class CallResult : std::uint8_t { ok, conflict, missing, crowded, refused, unanswered, other };
 enum class Write : std::uint8_t { user, mark, progress, final, roster, relay, lead };
 enum class Stop : std::uint8_t { preempted, emptied, notice, withdrawn };
