Front: final answers are looked up in one place; beat asks once whether it is alone

Need: submit, status and the look-up each began with the same look at final answers; two look-ups where one does.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -364,13 +364,14 @@
   }
   // Without the right to act: name the leader, or send the worker on to the next node, at once where this one reaches nobody:
   // three seconds of waiting for a leader's answer at each report were the worker's, not this node's.
-  if (!alone(now) && levels_.serving() && !leadership_.leader().empty() && leadership_.leader() != platform_.node) {
+  const bool cut_off = alone(now);
+  if (!cut_off && levels_.serving() && !leadership_.leader().empty() && leadership_.leader() != platform_.node) {
     const auto report = wire::parse_report(body);
     if (!report) return out_.reply(request, 400, wire::error_body("not a report"));
     if (relay_.pass_on(now, request, *report, body, until)) return;
     return out_.reply(request, 421, wire::redirect(relay_.home(now, *report)));
   }
-  if (levels_.unsupported() || alone(now)) return out_.reply(request, 503, wire::error_body("not this node"));
+  if (levels_.unsupported() || cut_off) return out_.reply(request, 503, wire::error_body("not this node"));
   if (parked_.size() >= std::max(kRelayMachines, static_cast<std::size_t>(platform_.max_connections))) return out_.reply(request, 503, wire::error_body("no leader"));
   parked_.push_back({request, std::string(body), until});
 }
--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -80,14 +80,14 @@
   }
 }
 
+std::optional<wire::OverRecord> Front::known_final(const std::string& id) const {
+  const auto it = final_.find(id);
+  return it != final_.end() ? std::optional(it->second) : copy_.final_of(id);
+}
+
 // live/ first, then over/: records only move that way, so a job can't slip through between the two.
 void Front::look_up(Ms now, const std::string& id, std::function<void(Ms, const Found&)> done) {
-  if (auto it = final_.find(id); it != final_.end()) {
-    Found f;
-    f.over = it->second;
-    return done(now, f);
-  }
-  if (const auto record = copy_.final_of(id)) {
+  if (const auto record = known_final(id)) {
     Found f;
     f.over = *record;
     return done(now, f);
@@ -181,9 +181,9 @@
     });
     return;
   }
-  if (auto it = final_.find(id); it != final_.end()) {
+  if (const auto record = known_final(id)) {
     Found f;
-    f.over = it->second;
+    f.over = *record;
     return answer_known(now, request, id, f);
   }
 
@@ -249,8 +249,7 @@
 // docs/safety.md, "Polls that share a read", says why no answer is older than one given elsewhere.
 void Front::status(Ms now, std::uint64_t request, const std::string& id) {
   if (!wire::valid_job_id(id)) return out_.reply(request, 404, wire::error_body("no such job"));
-  if (const auto it = final_.find(id); it != final_.end()) return tell_final(now, request, id, it->second);
-  if (const auto record = copy_.final_of(id)) return tell_final(now, request, id, *record);
+  if (const auto record = known_final(id)) return tell_final(now, request, id, *record);
   if (copy_.is_withdrawn(id)) return tell_final(now, request, id, {true, 0});
   if (store_.unreachable(now)) return refuse(request, Refusal::store);
   if (view_.waiting() >= kPollsMost) return refuse(request, Refusal::busy, 429);
@@ -281,13 +280,10 @@
 void Front::final_status(Ms now, std::uint64_t request, const std::string& id, bool known) {
   // Polls that ask the same share the question, and what was asked is read even if whoever asked has given up: the next poll
   // finds the answer here. Refused at the door by how many wait, one job's polls could lose each time.
-  const auto asked = finals_asked_.find(id);
-  if (asked != finals_asked_.end()) {
-    asked->second.push_back(request);
-    return;
-  }
-  if (finals_asked_.size() >= kPollsMost) return refuse(request, Refusal::busy, 429);
-  finals_asked_[id].push_back(request);
+  if (finals_asked_.size() >= kPollsMost && !finals_asked_.contains(id)) return refuse(request, Refusal::busy, 429);
+  auto& requests = finals_asked_[id];
+  requests.push_back(request);
+  if (requests.size() > 1) return;
   store_.get(now, Rank::low, over_key(id), [this, id, known](Ms t, int status, std::string_view body) {
     const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
     const auto record = item ? wire::decode_over(item->value) : std::nullopt;
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -73,6 +73,7 @@
   void tell_withdrawn(Ms now, std::uint64_t request, const std::string& id, std::string body);
   std::optional<wire::BadField> can_never_run(const wire::Job& job) const;
   void remember(const std::string& id, wire::OverRecord record);
+  std::optional<wire::OverRecord> known_final(const std::string& id) const;  // without asking the store
 
   Outbox& out_;
   StoreClient& store_;
