A late word of a cancellation that is over does not stay in the list

Cause: between the end of a job's record and the reading of its final state another controller's word of the cancellation could come; nothing would have taken it out of the list again. No rule hung on it; the list would have grown.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -52,7 +52,8 @@
   copies_.copy().on_withdrawn = [this](const std::string& job) { cancelled_.add(job); };
   const auto read_all = [this](Ms asked) { read_all_ = std::max(read_all_.value_or(asked), asked); };
   front_.view().on_read_all = read_all;
-  front_.view().on_over = [this](const std::string& job) { cancelled_.over(job); };
+  // A late word of a cancellation may come between its record's end and the reading of its final state.
+  front_.view().on_over = copies_.copy().on_over = [this](const std::string& job) { cancelled_.over(job); };
   front_.may_tell_withdrawn = [this](Ms now, const std::string& job) {
     return now >= leadership_.bound_until() || !cancelled_.contains(job) || cancelled_.is_taken(job);
   };
--- a/src/rebuild/copy.cpp
+++ b/src/rebuild/copy.cpp
@@ -26,6 +26,7 @@
 
 void Copy::over(const std::string& job, const wire::OverRecord& record) {
   unfinished_.erase(job);
+  if (on_over) on_over(job);
   const auto [it, first] = finals_.emplace(job, record);
   if (!first) {
     // Told done, it was done: that can't be told of a job that was cancelled before.
--- a/src/rebuild/copy.hpp
+++ b/src/rebuild/copy.hpp
@@ -31,8 +31,8 @@
   // after a loss.
   explicit Copy(std::size_t finals_most) : finals_most_(finals_most) {}
 
-  // A job is known to be cancelled, and not over; told each time that it is learnt.
-  std::function<void(const std::string& job)> on_withdrawn;
+  // A job is known to be cancelled, and not over; or to be over. Told each time that it is learnt.
+  std::function<void(const std::string& job)> on_withdrawn, on_over;
   void live(const std::string& job, std::string record, bool withdrawn, std::uint32_t mark);
   // A newer value of the same store has all that the one before had, and takes its place.
   void progress(const std::string& job, std::uint32_t chunk, std::string text);
--- a/tests/rebuild_test.cpp
+++ b/tests/rebuild_test.cpp
@@ -111,6 +111,23 @@
   }
 }
 
+// What vouches for cancellations (vouching/) goes by it: learnt by whatever way, and over whatever comes late.
+TEST(CopyJoin, TellsWhatIsCancelledUntilItIsOver) {
+  rebuild::Copy copy(1000);
+  std::set<std::string> cancelled;
+  copy.on_withdrawn = [&](const std::string& job) { cancelled.insert(job); };
+  copy.on_over = [&](const std::string& job) { cancelled.erase(job); };
+  rebuild::Copy other(1000);
+  other.live("run-1", "{}", true, 0);
+  other.live("run-2", "{}", false, 0);
+  copy.join(other.encode(1000).front());
+  copy.live("run-3", "{}", true, 0);
+  EXPECT_EQ(cancelled, (std::set<std::string>{"run-1", "run-3"}));
+  copy.over("run-1", {true, 0});
+  copy.join(other.encode(1000).front());
+  EXPECT_EQ(cancelled, (std::set<std::string>{"run-3"})) << "a late word";
+}
+
 TEST(CopyJoin, BrokenPartsAreRefusedAndBoundsHold) {
   const auto d = draw(7);
   const auto whole = d.copies[0].encode(1'000'000).front();
