--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -355,8 +355,7 @@
 
 void Controller::beat(Ms now, std::uint64_t request, std::string_view body, Ms until) {
   // A process that has just started, and leads, reads what is cancelled before it answers.
-  const bool reading = leadership_.holds(now) && !leadership_.may_act(now);
-  if (leader_ && leadership_.leading() && !reading) {
+  if (leader_ && leadership_.leading() && !leadership_.must_be_silent(now)) {
     auto report = wire::parse_report(body);
     if (report) leadership_.knows_term(report->token);
     if (!report) return out_.reply(request, 400, wire::error_body("not a report"));
@@ -453,7 +452,7 @@
 
 // Less than a few ticks is what a process takes to read what is cancelled after its start.
 void Controller::tell_silence(Ms now) {
-  const bool silent = leader_ && leadership_.holds(now) && !leadership_.may_act(now);
+  const bool silent = leadership_.must_be_silent(now);
   if (silent && silent_since_ == 0) {
     silent_since_ = now;
     if (read_all_) out_.log(Event::leader_silent, leadership_.term(), vouchers_.missing(now - unknowing_ms(platform_)));
--- a/src/core/leadership.hpp
+++ b/src/core/leadership.hpp
@@ -26,6 +26,8 @@
   bool holds(Ms now) const { return leading_ && now < std::max(lease_until_, promised_to_us()); }
   // It may act: that, and no cancellation can have been told for too long that it does not know of.
   bool may_act(Ms now) const { return holds(now) && (!knows_until || now < knows_until()); }
+  // Nobody else can lead, and it may not act all the same.
+  bool must_be_silent(Ms now) const { return holds(now) && !may_act(now); }
   // Until when what this controller knows of cancellations suffices to answer machines (docs/safety.md).
   std::function<Ms()> knows_until;
 
--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -2,8 +2,8 @@
 // copies and repeats, a controller alone with its workers, processes and machines back at once.
 #include <gtest/gtest.h>
 
+#include "cases.hpp"
 #include "settings/constants.hpp"
-#include "world.hpp"
 
 namespace hitchfront::testing {
 namespace {
@@ -23,20 +23,8 @@
   return s;
 }
 
-void well(const World& w, const std::string& what) {
-  EXPECT_TRUE(w.judge.broken.empty()) << what << "\n" << report(w);
-  EXPECT_TRUE(w.unfinished().empty()) << what << ": " << w.unfinished().size() << " jobs never ended";
-}
-
 // ---- nobody forgotten ------------------------------------------------------------------------------
 
-struct Case {
-  const char* name;
-  std::function<void(Scenario&)> change;
-};
-void PrintTo(const Case& c, std::ostream* out) { *out << c.name; }
-std::string name_of(const ::testing::TestParamInfo<Case>& p) { return p.param.name; }
-
 class NobodyForgotten : public ::testing::TestWithParam<Case> {};
 TEST_P(NobodyForgotten, EachJobIsAnsweredForOnceTroublesAreOver) {
   for (const int nodes : {3, 5})
--- a/tests/meeting_test.cpp
+++ b/tests/meeting_test.cpp
@@ -1,24 +1,12 @@
 // Two troubles that meet, in the seeded world: a test for each meeting of docs/safety.md, "Where two troubles meet".
 #include <gtest/gtest.h>
 
+#include "cases.hpp"
 #include "settings/constants.hpp"
-#include "world.hpp"
 
 namespace hitchfront::testing {
 namespace {
 
-struct Case {
-  const char* name;
-  std::function<void(Scenario&)> change;
-};
-void PrintTo(const Case& c, std::ostream* out) { *out << c.name; }
-std::string name_of(const ::testing::TestParamInfo<Case>& p) { return p.param.name; }
-
-void well(const World& w, const std::string& what) {
-  EXPECT_TRUE(w.judge.broken.empty()) << what << "\n" << report(w);
-  EXPECT_TRUE(w.unfinished().empty()) << what << ": " << w.unfinished().size() << " jobs never ended";
-}
-
 // ---- a cancellation that the leader never hears of ---------------------------------------------------
 
 constexpr std::int64_t kRefused = 70'000, kOutage = 72'500, kMended = 135'000;
