--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -4,6 +4,7 @@
 
 #include "settings/constants.hpp"
 #include "wire/peer.hpp"
+#include "wire/vouch.hpp"
 
 namespace hitchfront::core {
 using namespace settings;
@@ -32,6 +33,7 @@
       store_(out_, platform_.state_rps, platform_.state_write_rps, platform_.nodes),
       levels_(out_, store_, platform_, support, static_cast<std::uint32_t>(operator_.get("level_most", {})), std::mt19937_64(seed + 29)()),
       copies_(store_),
+      vouchers_(all_peers(platform_)),
       leadership_(out_, store_, platform_.node, seed, all_peers(platform_), operator_.get("roster", {}) != 0,
                   support.announces ? &levels_.level() : nullptr),
       front_(out_, store_, platform_, [this](Ms now, const std::string& id, auto done) { ask_counts(now, id, std::move(done)); }, copies_.copy(),
@@ -44,9 +46,23 @@
              }),
       random_(seed + 17) {
   relay_.again = [this](Ms now, std::uint64_t request, std::string_view body, Ms until) { beat(now, request, body, until); };
-  leadership_.on_won = [this](Ms now) {
+  cancelled_.on_added = [this](const std::string& job) {
+    if (leader_) leader_->withdrawn(now_, job);
+  };
+  copies_.copy().on_withdrawn = [this](const std::string& job) { cancelled_.add(job); };
+  const auto read_all = [this](Ms asked) { read_all_ = std::max(read_all_.value_or(asked), asked); };
+  front_.view().on_read_all = read_all;
+  front_.view().on_over = [this](const std::string& job) { cancelled_.over(job); };
+  front_.may_tell_withdrawn = [this](Ms now, const std::string& job) {
+    return now >= leadership_.bound_until() || !cancelled_.contains(job) || cancelled_.is_taken(job);
+  };
+  leadership_.knows_until = [this] { return knows_until(); };
+  leadership_.on_won = [this, read_all](Ms now) {
+    vouchers_.begin();
     leader_ = std::make_unique<Leader>(out_, store_, leadership_, levels_, platform_, operator_, random_(), wall_minus_steady_);
     leader_->set_step_rate(step_rate_);
+    leader_->is_withdrawn = [this](const std::string& job) { return cancelled_.contains(job); };
+    leader_->on_read_all = read_all;
     leader_->on_marked = [this](const wire::LiveRecord& record) {
       if (levels_.heeds()) front_.marked(record.job.id, record);
     };
@@ -61,6 +77,7 @@
         relay_.lead(t);
         if (leader_) leader_->load(t);
       });
+      rebuilder_->on_withdrawn([this](const std::string& job) { cancelled_.add(job); });
       rebuilder_->on_deposed = [this](Ms t, const char* why) { leadership_.resign(t, why); };
       rebuilder_->start(now);
     }
@@ -171,15 +188,14 @@
       store_types(now);
     }
     front_.tick(now);
-    if (levels_.heeds()) {
-      copies_.tick(now);
-      if (now >= next_refresh_) {
-        next_refresh_ = now + kCopyMs;
-        front_.refresh(now);
-      }
+    if (levels_.heeds()) copies_.tick(now);
+    if (now >= next_refresh_) {
+      next_refresh_ = now + kCopyMs;
+      front_.refresh(now);
     }
   }
   relay_.tick(now);
+  tell_silence(now);
   if (leader_) {
     leader_->tick(now);
     // Workers that reach the others but not this node: one of the others serves them better.
@@ -195,7 +211,11 @@
       ping.kind = wire::PeerMessage::Kind::promise_ask;
       ping.id = leadership_.ask(now);
     }
-    for (const auto& p : platform_.peers) out_.peer(p.node, wire::encode(ping));
+    for (const auto& p : platform_.peers) {
+      ping.asks_vouch = ping.kind == wire::PeerMessage::Kind::promise_ask;
+      ping.taken = vouchers_.taken(p.node);
+      out_.peer(p.node, wire::encode(ping));
+    }
   }
   for (auto it = asked_.begin(); it != asked_.end();) {
     if (now < it->second.until) {
@@ -333,7 +353,9 @@
 }
 
 void Controller::beat(Ms now, std::uint64_t request, std::string_view body, Ms until) {
-  if (leader_ && leadership_.leading()) {
+  // A process that has just started, and leads, reads what is cancelled before it answers.
+  const bool reading = leadership_.holds(now) && !leadership_.may_act(now);
+  if (leader_ && leadership_.leading() && !reading) {
     auto report = wire::parse_report(body);
     if (report) leadership_.knows_term(report->token);
     if (!report) return out_.reply(request, 400, wire::error_body("not a report"));
@@ -418,6 +440,53 @@
   asked_[m.id] = std::exchange(asking_, {});
 }
 
+// No cancellation that was told before this is unknown here, but for those that are told later than it: docs/safety.md, "Every
+// cancellation that was told". Whoever knows of a loss tells nobody anything, so that there the time does not run.
+Ms Controller::knows_until() const {
+  if (levels_.lost()) return INT64_MAX;
+  if (!read_all_) return 0;
+  const Ms since = std::max(*read_all_, vouchers_.known_since());
+  return since + unknowing_ms(platform_);
+}
+
+// Less than a few ticks is what a process takes to read what is cancelled after its start.
+void Controller::tell_silence(Ms now) {
+  const bool silent = leader_ && leadership_.holds(now) && !leadership_.may_act(now);
+  if (silent && silent_since_ == 0) {
+    silent_since_ = now;
+    if (read_all_) out_.log(Event::leader_silent, leadership_.term(), vouchers_.missing(now - unknowing_ms(platform_)));
+  } else if (!silent && silent_since_ != 0) {
+    if (read_all_ && leadership_.leading()) out_.log(Event::leader_speaks, leadership_.term(), static_cast<double>(now - silent_since_) / 1000);
+    silent_since_ = 0;
+  }
+}
+
+void Controller::promise_asked(Ms now, const std::string& node, const wire::PeerMessage& m) {
+  if (!leadership_.grant(now, m.a)) return;
+  wire::PeerMessage yes;
+  yes.kind = wire::PeerMessage::Kind::promise;
+  yes.id = m.id;
+  if (m.asks_vouch) {
+    const bool same = m.taken.process == levels_.life();
+    cancelled_.taken(m.a, same ? m.taken.number : 0);
+    auto vouch = cancelled_.after(same ? m.taken.number : 0, kCopyPart);
+    vouch.process = levels_.life();
+    vouch.read_all = read_all_.has_value();
+    yes.text = wire::encode(vouch);
+  }
+  out_.peer(node, wire::encode(yes));
+}
+
+// The promise alone keeps the others from taking over; what it vouches for is what the right to act goes by.
+void Controller::promised(Ms now, const std::string& node, const wire::PeerMessage& m) {
+  const auto promise = leadership_.granted(now, node, m.id);
+  const auto vouch = promise ? wire::decode_vouch(m.text) : std::nullopt;
+  if (!vouch) return;
+  for (const auto& job : vouch->jobs)
+    if (!copies_.copy().final_of(job)) cancelled_.add(job);
+  vouchers_.took(now, promise->asked, promise->until, node, *vouch);
+}
+
 // Part 0 is the level as it was known, the others the copy.
 void Controller::send_copy(const std::string& node, std::uint64_t round) {
   const auto parts = copies_.copy().encode(kCopyPart);
@@ -446,13 +515,9 @@
     leadership_.heard_term(now, m->a);
   }
   if (m->kind == Kind::promise_ask) {
-    if (!leadership_.grant(now, m->a)) return;
-    wire::PeerMessage yes;
-    yes.kind = Kind::promise;
-    yes.id = m->id;
-    out_.peer(node, wire::encode(yes));
+    promise_asked(now, node, *m);
   } else if (m->kind == Kind::promise) {
-    leadership_.granted(now, node, m->id);
+    promised(now, node, *m);
   } else if (m->kind == Kind::copy_ask) {
     send_copy(node, m->id);
   } else if (m->kind == Kind::copy_part) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -8,6 +8,7 @@
 #include "core/leadership.hpp"
 #include "core/rebuilder.hpp"
 #include "core/relay.hpp"
+#include "vouching/vouching.hpp"
 
 namespace hitchfront::core {
 
@@ -56,6 +57,9 @@
   StoreClient store_;
   Levels levels_;
   Copies copies_;
+  vouching::Cancelled cancelled_;  // known here, by whatever way
+  vouching::Vouchers vouchers_;
+  std::optional<Ms> read_all_;     // everything that the store held then is known here
   Leadership leadership_;
   Front front_;
   Relay relay_;
@@ -87,6 +91,12 @@
     std::vector<std::function<void(Ms, std::optional<Front::Counts>)>> done;
   };
   void send_asked();
+  // Until when what is known here of cancellations suffices to answer machines.
+  Ms knows_until() const;
+  void tell_silence(Ms now);
+  Ms silent_since_ = 0;  // 0: it is not
+  void promise_asked(Ms now, const std::string& node, const wire::PeerMessage& m);
+  void promised(Ms now, const std::string& node, const wire::PeerMessage& m);
   wire::PeerMessage sign_of_life() const;
   void share_writes(Ms now);
   // Neither the state service nor another controller has been heard for a while: whoever asks is better served elsewhere.
--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -99,7 +99,10 @@
         f.version = item->version;
       }
       f.failed = !f.live;
-      if (f.live && f.live->withdrawn) remember(id, {true, 0});
+      if (f.live && f.live->withdrawn) {
+        remember(id, {true, 0});
+        told_live(id, *f.live);
+      }
       return done(t, f);
     }
     if (status != 404) {
@@ -140,17 +143,17 @@
   return wire::BadField{"Rigs", "a task fits no allowed machine type"};
 }
 
-void Front::answer_known(std::uint64_t request, const std::string& id, const Found& f) {
-  std::string_view status = wire::kPending;
-  if (f.over)
-    status = word(*f.over);
-  else if (f.live->withdrawn)
-    status = wire::kWithdrawn;
-  else if (f.live->mark > kMarkAtOnce)
-    status = wire::kRunning;
+void Front::answer_known(Ms now, std::uint64_t request, const std::string& id, const Found& f) {
+  if (f.over ? f.over->withdrawn : f.live->withdrawn) return tell_withdrawn(now, request, id, wire::job_status(id, wire::kWithdrawn));
+  const auto status = f.over ? word(*f.over) : f.live->mark > kMarkAtOnce ? wire::kRunning : wire::kPending;
   out_.reply(request, 200, wire::job_status(id, status));
 }
 
+void Front::tell_withdrawn(Ms now, std::uint64_t request, const std::string& id, std::string body) {
+  if (!copy_.final_of(id) && may_tell_withdrawn && !may_tell_withdrawn(now, id)) return refuse(request, Refusal::again);
+  out_.reply(request, 200, std::move(body));
+}
+
 void Front::submit(Ms now, std::int64_t wall_ms, std::uint64_t request, std::string_view body) {
   auto parsed = wire::parse_job(body);
   if (!parsed.job && parsed.known_id.empty())
@@ -170,7 +173,7 @@
     const int status = parsed.job ? 422 : 400;
     look_up(now, id, [this, request, id, bad, status, known = copy_.knows(id)](Ms t, const Found& f) {
       if (f.failed) return refuse(request, Refusal::store);
-      if (f.live || f.over) return answer_known(request, id, f);
+      if (f.live || f.over) return answer_known(t, request, id, f);
       if (!bad) return refuse(request, Refusal::types);
       if (!may_be_new(t, request, known)) return;
       deny(request, status, *bad);
@@ -180,7 +183,7 @@
   if (auto it = final_.find(id); it != final_.end()) {
     Found f;
     f.over = it->second;
-    return answer_known(request, id, f);
+    return answer_known(now, request, id, f);
   }
 
   // Its first tasks count as launched from the start, which saves a job's leader one write in four or more. A mark may be too
@@ -200,13 +203,15 @@
   view_.ask(now, id, [this, request, id](Ms t, bool known, const LiveView::Job* job) {
     if (!known) return refuse(request, Refusal::store);
     if (job != nullptr) {
-      if (job->withdrawn) remember(id, {true, 0});
-      const auto status = job->withdrawn ? wire::kWithdrawn : job->launched ? wire::kRunning : wire::kPending;
-      return out_.reply(request, 200, wire::job_status(id, status));
+      if (job->withdrawn) {
+        remember(id, {true, 0});
+        return tell_withdrawn(t, request, id, wire::job_status(id, wire::kWithdrawn));
+      }
+      return out_.reply(request, 200, wire::job_status(id, job->launched ? wire::kRunning : wire::kPending));
     }
     look_up(t, id, [this, request, id](Ms t2, const Found& f) {
       if (f.failed) return refuse(request, Refusal::store);
-      if (f.live || f.over) return answer_known(request, id, f);
+      if (f.live || f.over) return answer_known(t2, request, id, f);
       // Neither unfinished nor over by the store, and known all the same.
       if (on_contradiction) on_contradiction(t2);
       refuse(request, Refusal::level);
@@ -232,7 +237,7 @@
     // same id, finds out.
     if (status != 409) return refuse(request, Refusal::store);
     look_up(t, id, [this, request, id, record, again](Ms t2, const Found& f) {
-      if (f.live || f.over) return answer_known(request, id, f);
+      if (f.live || f.over) return answer_known(t2, request, id, f);
       // The record was formed under a level that has passed; the new one has been read meanwhile.
       if (again && !f.failed) return accept(t2, request, id, record, false);
       refuse(request, Refusal::again);
@@ -243,9 +248,9 @@
 // docs/safety.md, "Polls that share a read", says why no answer is older than one given elsewhere.
 void Front::status(Ms now, std::uint64_t request, const std::string& id) {
   if (!wire::valid_job_id(id)) return out_.reply(request, 404, wire::error_body("no such job"));
-  if (const auto it = final_.find(id); it != final_.end()) return tell_final(request, id, it->second);
-  if (const auto record = copy_.final_of(id)) return tell_final(request, id, *record);
-  if (copy_.is_withdrawn(id)) return tell_final(request, id, {true, 0});
+  if (const auto it = final_.find(id); it != final_.end()) return tell_final(now, request, id, it->second);
+  if (const auto record = copy_.final_of(id)) return tell_final(now, request, id, *record);
+  if (copy_.is_withdrawn(id)) return tell_final(now, request, id, {true, 0});
   if (store_.unreachable(now)) return refuse(request, Refusal::store);
   if (view_.waiting() >= kPollsMost) return refuse(request, Refusal::busy, 429);
   view_.ask(now, id, [this, request, id, before = copy_.knows(id)](Ms t, bool known, const LiveView::Job* job) {
@@ -253,7 +258,7 @@
     if (job == nullptr) return final_status(t, request, id, before);
     if (job->withdrawn) {
       remember(id, {true, 0});
-      return out_.reply(request, 200, wire::job_answer(id, wire::kWithdrawn, 0, 0));
+      return tell_withdrawn(t, request, id, wire::job_answer(id, wire::kWithdrawn, 0, 0));
     }
     if (!job->marked) return out_.reply(request, 200, wire::job_answer(id, wire::kPending, 0, 0));
     ask_(t, id, [this, request, id, launched = job->launched](Ms, std::optional<Counts> c) {
@@ -265,8 +270,10 @@
   });
 }
 
-void Front::tell_final(std::uint64_t request, const std::string& id, const wire::OverRecord& record) {
-  out_.reply(request, 200, wire::job_answer(id, word(record), record.done, 0));
+void Front::tell_final(Ms now, std::uint64_t request, const std::string& id, const wire::OverRecord& record) {
+  auto body = wire::job_answer(id, word(record), record.done, 0);
+  if (record.withdrawn) return tell_withdrawn(now, request, id, std::move(body));
+  out_.reply(request, 200, std::move(body));
 }
 
 // Not among the unfinished: over, or never submitted. Records only move from live/ to over/.
@@ -293,7 +300,7 @@
       if (status == 404)
         unknown(t, each, known);
       else if (record)
-        tell_final(each, id, *record);
+        tell_final(t, each, id, *record);
       else
         refuse(each, Refusal::store);
     }
@@ -307,7 +314,7 @@
   look_up(now, id, [this, request, id, tries, known = copy_.knows(id)](Ms t, const Found& f) {
     if (f.failed) return refuse(request, Refusal::store);
     if (!f.live && !f.over) return unknown(t, request, known);
-    if (f.over || f.live->withdrawn) return answer_known(request, id, f);
+    if (f.over || f.live->withdrawn) return answer_known(t, request, id, f);
     auto record = *f.live;
     record.withdrawn = true;
     wire::Txn txn;
@@ -317,7 +324,7 @@
       if (status == 200) {
         told_live(id, record);
         remember(id, {true, 0});
-        return out_.reply(request, 200, wire::job_status(id, wire::kWithdrawn));
+        return tell_withdrawn(t2, request, id, wire::job_status(id, wire::kWithdrawn));
       }
       if (status == 409) return cancel(t2, request, id, tries + 1);
       refuse(request, Refusal::store);
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -48,6 +48,9 @@
   // Something that a user is about to be told: the other controllers get it with the same input's messages, before.
   std::function<void(const rebuild::Copy& told)> on_told;
   std::function<void(const std::string& key, std::uint64_t stamp)> on_read;  // an unfinished job's record
+  // Whether a user may be told now that this job, which is not over, is cancelled (docs/safety.md, "Every cancellation that was told").
+  std::function<bool(Ms, const std::string& id)> may_tell_withdrawn;
+  LiveView& view() { return view_; }
 
  private:
   struct Found {
@@ -59,13 +62,15 @@
   void look_up(Ms now, const std::string& id, std::function<void(Ms, const Found&)> done);
   // `again`: tried once more where it is refused and the job is still unknown.
   void accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, bool again);
-  void tell_final(std::uint64_t request, const std::string& id, const wire::OverRecord& record);
+  void tell_final(Ms now, std::uint64_t request, const std::string& id, const wire::OverRecord& record);
   // A repeat of what this node knows to have been accepted; by the read that polls share, so that it costs no write.
   void known_again(Ms now, std::uint64_t request, const std::string& id);
   void final_status(Ms now, std::uint64_t request, const std::string& id, bool known);
   // For good.
   void deny(std::uint64_t request, int status, const wire::BadField& bad);
-  void answer_known(std::uint64_t request, const std::string& id, const Found& found);
+  void answer_known(Ms now, std::uint64_t request, const std::string& id, const Found& found);
+  // Every answer that calls a job cancelled goes out here, or is refused for now.
+  void tell_withdrawn(Ms now, std::uint64_t request, const std::string& id, std::string body);
   std::optional<wire::BadField> can_never_run(const wire::Job& job) const;
   void remember(const std::string& id, wire::OverRecord record);
 
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -72,13 +72,14 @@
     load(now);
 }
 
-void Leader::load_live(Ms now, std::string after) {
-  store_.range(now, Rank::leader, kLivePrefix, after, mine([this, after](Ms t, int status, std::string_view body) {
+void Leader::load_live(Ms now, std::string after, Ms asked) {
+  store_.range(now, Rank::leader, kLivePrefix, after, mine([this, after, asked](Ms t, int status, std::string_view body) {
     auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
-    if (!page) return load_live(t, after);
+    if (!page) return load_live(t, after, asked);
     if (after.empty()) revision_ = std::max(leader_version_, page->revision);
     for (auto& i : page->items) add_job(t, i.key.substr(5), i.value, i.version);
-    if (page->more && !page->items.empty()) return load_live(t, page->items.back().key);
+    if (page->more && !page->items.empty()) return load_live(t, page->items.back().key, asked);
+    if (on_read_all) on_read_all(asked);
     load_progress(t, "");
   }));
 }
@@ -144,7 +145,7 @@
   job->index = next_job_++;
   job->accepted_ms = record->accepted_ms;
   job->seen = std::min(now, record->accepted_ms - wall_minus_steady_);
-  job->withdrawn = record->withdrawn;
+  job->withdrawn = record->withdrawn || (is_withdrawn && is_withdrawn(id));
   job->mark = job->mark_wanted = record->mark;
   job->version = version;
   job->prepare(zones_.size());
@@ -178,7 +179,7 @@
     return;
   }
   next_watch_ = now + kWatchPaceMs;
-  store_.watch(now, kLivePrefix, revision_, mine([this](Ms t, int status, std::string_view body) {
+  store_.watch(now, kLivePrefix, revision_, mine([this, asked = now](Ms t, int status, std::string_view body) {
     auto page = status == 200 ? wire::parse_watch(body) : std::nullopt;
     if (!page) {
       if (status == 410) {
@@ -208,11 +209,17 @@
       }
       if (job != nullptr && job->withdrawn) persist(t, *job);
     }
+    if (on_read_all) on_read_all(asked);
     watch_live(t);
     schedule(t);
   }));
 }
 
+// Nothing is stored for it before the record has been read: another controller has told it, which had it stored.
+void Leader::withdrawn(Ms now, const std::string& id) {
+  if (auto* job = find(id); job != nullptr && !job->withdrawn) job_withdrawn(now, *job);
+}
+
 void Leader::job_withdrawn(Ms now, JobState& job) {
   job.withdrawn = true;
   log(Event::job_withdrawn, job.spec.id);
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -37,7 +37,7 @@
 
   // `rebuilding`: the stored state is being rebuilt; reports are answered, nothing is decided before load().
   void begin(Ms now, bool rebuilding = false);
-  void load(Ms now) { load_live(now, ""); }
+  void load(Ms now) { load_live(now, "", now); }
   void tick(Ms now);
   void resign();  // refuses the reports that are still held
   // How a report came: straight from the worker, or passed on by another controller.
@@ -58,6 +58,12 @@
   // Machines and tasks looked at so far: what placement costs, whatever the processor.
   std::uint64_t work() const { return work_; }
   std::uint64_t reports() const { return reports_; }
+  // A job is known to be cancelled, by whatever way: its tasks are stopped, and nothing of it is launched.
+  void withdrawn(Ms now, const std::string& job);
+  // The same, asked of a job that is read only now, or of a task that a machine lists while nothing has been read yet.
+  std::function<bool(const std::string& job)> is_withdrawn;
+  // Everything stored before `asked` has been read.
+  std::function<void(Ms asked)> on_read_all;
   // A job's launch mark was stored; before any launch beyond it.
   std::function<void(const wire::LiveRecord& record)> on_marked;
   void gauge(Ms now) const;  // sets the gauges of the figures
@@ -136,7 +142,7 @@
   };
 
   // loading
-  void load_live(Ms now, std::string after);
+  void load_live(Ms now, std::string after, Ms asked);
   void load_progress(Ms now, std::string after);
   void watch_live(Ms now);
   void loaded(Ms now);
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -79,7 +79,14 @@
     // Keeps the worker's lease alive. Its tasks are in doubt until its next report, and the answer
     // lets them live on for a lease from now: the doubt has to last as long.
     doubt_over_ = std::max(doubt_over_, now + lease_ms(platform_));
-    return out_.reply(request, 200, wire::report_answer(term_, {}));
+    // Of what is not loaded yet only this is known, and that lease is not to keep such tasks alive.
+    std::vector<wire::Command> stops;
+    for (const auto& t : r->tasks) {
+      const auto* job = find(t.job);
+      const bool over = job != nullptr ? job->withdrawn : is_withdrawn && is_withdrawn(t.job);
+      if (over && t.state != wire::TaskState::ended && stops.size() < kCommandsMost) stops.push_back({wire::Command::Op::stop, t.job, t.task, t.attempt, 0});
+    }
+    return out_.reply(request, 200, wire::report_answer(term_, stops));
   }
   auto it = machines_.find(r->machine);
   Machine* m = it != machines_.end() ? it->second.get() : nullptr;
--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -61,7 +61,7 @@
 }
 
 bool Leadership::wants_promises(Ms now) const {
-  return may_act(now) && !peers_.empty() && now - renewed_at_ > kAskAfterMs;
+  return holds(now) && !peers_.empty() && now - renewed_at_ > kAskAfterMs;
 }
 
 std::uint64_t Leadership::ask(Ms now) {
@@ -70,18 +70,26 @@
   return round_;
 }
 
-void Leadership::granted(Ms now, const std::string& node, std::uint64_t round) {
+std::optional<Leadership::Promise> Leadership::granted(Ms now, const std::string& node, std::uint64_t round) {
   // Only while the right to act has not lapsed: after a gap somebody may have taken over meanwhile.
-  if (!may_act(now)) return;
+  if (!holds(now)) return std::nullopt;
   const auto it = rounds_.find(round);
-  if (it == rounds_.end()) return;
+  if (it == rounds_.end()) return std::nullopt;
   // Counted from before the question was sent, which is before the promise was made.
   const Ms until = it->second + static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 - 2 * kDrift)) - kLeaderMarginMs;
   if (promises_.empty()) out_.log(Event::outage_promised, term_);
   auto& mine = promises_[node];
   mine = std::max(mine, until);
+  return Promise{it->second, until};
 }
 
+namespace {
+// How long a promise binds whoever gave it, by its own clock.
+constexpr Ms bound_ms() { return static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 + 2 * kDrift)) + kLeaseMarginMs; }
+}  // namespace
+
+Ms Leadership::bound_until() const { return leading_ || peers_.empty() ? 0 : std::max(promised_until_, started_ + bound_ms()); }
+
 bool Leadership::grant(Ms now, std::uint64_t term) {
   // Promising is safe whoever asks: it only binds this node, and the leader counts it only while it has
   // the right to act. A node that was cut off until the outage began may know no leader at all, and its
@@ -100,7 +108,7 @@
     return false;
   }
   if (now - store_down_since_ > kPromiseMs) store_down_since_ = 0;  // look again before the next promise
-  promised_until_ = now + static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 + 2 * kDrift)) + kLeaseMarginMs;
+  promised_until_ = now + bound_ms();
   return true;
 }
 
@@ -118,7 +126,7 @@
 void Leadership::heard_term(Ms now, std::uint64_t term) {
   knows_term(term);
   if (!leading_ || term <= term_) return;
-  if (!may_act(now)) return lost(now, "a later term is known");
+  if (!holds(now)) return lost(now, "a later term is known");
   // Nobody can have taken over: the store had forgotten that term when this one was taken.
   if (on_behind) on_behind(now, "term");
 }
@@ -251,12 +259,11 @@
   if (contending_ || leading_) return;
   // Not against a promise; and a process that has just started does not know what the one before it
   // promised, unless that one led, or nobody ever did.
-  const Ms wait = static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 + 2 * kDrift)) + kLeaseMarginMs;
   if (first_ever_ && known_term_ == 0 && heard_all && !heard_all(now)) {
     contend_at_ = now + kTickMs;
     return;
   }
-  const Ms free = std::max(promised_until_, (first_ever_ && known_term_ == 0) || former_ours_ || peers_.empty() ? 0 : started_ + wait);
+  const Ms free = std::max(promised_until_, (first_ever_ && known_term_ == 0) || former_ours_ || peers_.empty() ? 0 : started_ + bound_ms());
   if (now < free) {
     contend_at_ = free;
     return;
--- a/src/core/leadership.hpp
+++ b/src/core/leadership.hpp
@@ -22,16 +22,26 @@
   void tick(Ms now);
 
   bool leading() const { return leading_; }
-  // The leader may act: by its own conservative count its lease is still running.
-  bool may_act(Ms now) const { return leading_ && now < std::max(lease_until_, promised_to_us()); }
+  // By its own conservative count nobody else can lead yet: its lease is running, or the others' promises are.
+  bool holds(Ms now) const { return leading_ && now < std::max(lease_until_, promised_to_us()); }
+  // It may act: that, and no cancellation can have been told for too long that it does not know of.
+  bool may_act(Ms now) const { return holds(now) && (!knows_until || now < knows_until()); }
+  // Until when what this controller knows of cancellations suffices to answer machines (docs/safety.md).
+  std::function<Ms()> knows_until;
 
   // A state outage longer than the lease: the leader goes on while every other controller promises
   // not to take over. A controller promises only while it can't reach the store either, so that a
   // leader which is refused alone is replaced as usual.
   bool wants_promises(Ms now) const;
   std::uint64_t ask(Ms now);  // the number of a new round of asking
-  void granted(Ms now, const std::string& node, std::uint64_t round);
+  // When a promise of this round was asked for, and until when it stands; nothing: it does not count.
+  struct Promise {
+    Ms asked = 0, until = 0;
+  };
+  std::optional<Promise> granted(Ms now, const std::string& node, std::uint64_t round);
   bool grant(Ms now, std::uint64_t term);
+  // Until when a promise of this node may stand, one of a process before this one included.
+  Ms bound_until() const;
   // Another controller knows of this term. A leader that was refused by the store alone learns by it that it was
   // replaced: thinking itself the leader, it would refuse the promise that its successor needs in an outage.
   void heard_term(Ms now, std::uint64_t term);
--- a/src/core/levels.hpp
+++ b/src/core/levels.hpp
@@ -53,6 +53,7 @@
   void knew(const wire::Level& level);  // another controller, before the loss
   void adopt_rebuilt(Ms now, const wire::Level& level, std::uint64_t stamp) { adopt(now, level, stamp); }
 
+  std::uint64_t life() const { return self_.life; }  // this process's number
   std::string sign() const;  // to go with each sign of life; empty: this version says nothing
   void heard(Ms now, const std::string& node, std::string_view sign);
   const membership::Members& members() const { return members_; }
--- a/src/core/live_view.cpp
+++ b/src/core/live_view.cpp
@@ -20,6 +20,7 @@
   if (reading_ || waiting_.empty() || now < next_read_) return;
   reading_ = true;
   next_read_ = now + kViewMs;
+  asked_ = now;
   covered_ = std::exchange(waiting_, {});
   if (!loaded_) {
     jobs_.clear();
@@ -67,6 +68,7 @@
   if (it != jobs_.end() && it->second.version >= version) return;  // a page that was read later had it
   if (deleted) {
     if (it != jobs_.end()) jobs_.erase(it);
+    if (on_over) on_over(id);
     return;
   }
   // A record that can't be read is a job all the same, and must not be called unknown.
@@ -84,6 +86,7 @@
 
 void LiveView::answer(Ms now, bool known) {
   reading_ = false;
+  if (known && on_read_all) on_read_all(asked_);
   // Nobody is to wait for a second read that is not answered either: users wait 2 s.
   if (!known && store_.unreachable(now)) {
     for (auto& poll : waiting_) covered_.push_back(std::move(poll));
--- a/src/core/live_view.hpp
+++ b/src/core/live_view.hpp
@@ -27,6 +27,9 @@
   // Every record as it is read, also those that were read before.
   std::function<void(const std::string& job, const nlohmann::json& value, const wire::LiveRecord& record, std::uint64_t stamp)> on_record;
   void forget();  // what was read is not the truth any more
+  // Everything stored before `asked` has been read.
+  std::function<void(Ms asked)> on_read_all;
+  std::function<void(const std::string& job)> on_over;  // its record is gone: it has a final state
 
   // Answers with the job's state at some instant after this call.
   void ask(Ms now, std::string id, Answer answer);
@@ -45,7 +48,7 @@
   std::uint64_t revision_ = 0;  // the copy holds every change up to here
   std::uint64_t epoch_ = 0;  // of what was read
   bool loaded_ = false, reading_ = false;
-  Ms next_read_ = 0;
+  Ms next_read_ = 0, asked_ = 0;  // asked_: when the read in flight was sent
   std::vector<Poll> waiting_;  // came after the read in flight was sent
   std::vector<Poll> covered_;  // came before it
 };
--- a/src/core/rebuilder.hpp
+++ b/src/core/rebuilder.hpp
@@ -20,6 +20,8 @@
   void start(Ms now);
   void tick(Ms now);
   void part(Ms now, const std::string& node, const wire::PeerMessage& m);  // copy_part
+  // Each job that is known to be cancelled by any copy.
+  void on_withdrawn(std::function<void(const std::string& job)> f) { merged_.on_withdrawn = std::move(f); }
   // This controller can't bring it to an end: another is to lead, and begins anew.
   std::function<void(Ms, const char* why)> on_deposed;
 
--- a/src/rebuild/copy.cpp
+++ b/src/rebuild/copy.cpp
@@ -13,6 +13,7 @@
   if (finals_.contains(job)) return;
   auto& u = unfinished_[job];
   u.withdrawn = u.withdrawn || withdrawn;
+  if (withdrawn && on_withdrawn) on_withdrawn(job);
   u.mark = std::max(u.mark, mark);
   // Which of two texts is kept matters for display only: the description never changes, and what does is joined above.
   if (u.record.empty() || record > u.record) u.record = std::move(record);
--- a/src/settings/platform.cpp
+++ b/src/settings/platform.cpp
@@ -193,17 +193,17 @@
   p.memory_mb = l.number("memory_mb", 1);
   p.max_connections = l.count("max_connections", 16, 10'000'000);
   p.time_bound_ms = params.number("time_bound_ms", 0);
-  // A cancelled task must be gone in time even when the leader dies right after the cancellation and
-  // the task's machine can't be reached: it then ends with its worker's lease.
-  if (out.problems.empty()) {
-    const double worst = (static_cast<double>(kLeaderTtlMs + 2 * kLeaseMarginMs) / 1000 + p.lease_s) *
-                         (1 + 2 * kDrift);
-    if (worst >= p.cancel_s)
-      out.problems.push_back("params.workers.cancel_s: is too short for lease_s and the leader's lease");
-  }
+  // A cancelled task must be gone in time even when the leader never hears of the cancellation and the task's machine can't be
+  // reached: the leader acts on until its lease is over, and the task ends with its worker's.
+  if (out.problems.empty() && unknowing_ms(p) < kLeaderTtlMs)
+    out.problems.push_back("params.workers.cancel_s: is too short for lease_s and the leader's lease");
   return out;
 }
 
+std::int64_t unknowing_ms(const Platform& p) {
+  return static_cast<std::int64_t>((p.cancel_s * (1 - 2 * kDrift) - p.lease_s * (1 + 2 * kDrift)) * 1000) - kLeaseMarginMs - kLeaderMarginMs;
+}
+
 Loaded load_platform(const std::string& path) {
   std::ifstream in(path);
   if (!in) return {{}, {"the file can't be read"}};
--- a/src/settings/platform.hpp
+++ b/src/settings/platform.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,10 @@
   double time_bound_ms = 0;
 };
 
+// ms for which machines may be answered without knowledge of what is cancelled meanwhile: the answer renews a worker's lease, and
+// with that lease cancel_s must not be over. Below what a leader needs, the settings are refused.
+std::int64_t unknowing_ms(const Platform& p);
+
 struct Loaded {
   Platform platform;
   std::vector<std::string> problems;  // each names its field; empty: usable
--- a/src/telemetry/events.hpp
+++ b/src/telemetry/events.hpp
@@ -23,6 +23,8 @@
   leader_lost,
   leader_former_ended,
   outage_promised,
+  leader_silent,
+  leader_speaks,
   store_down,
   store_up,
   store_writes,
