A leader that knows of a cancellation renews no lease past its time

Need: the operators saw ran_cancelled; what a leader does that does not know was bounded, what one does that knows was not. By reading, renewals without stops: the copy of a report by way of the store was answered without commands; what exceeded 500 commands was dropped, also by a leader that has not loaded; an unsettled attempt was told again only while no direct command was out; a direct stop passed over tasks that save; a cancelled job was over while a late launch of a task done elsewhere could still come.

Progress of cancelled jobs is not stored.

--- /dev/null
+++ b/src/answers/answers.cpp
@@ -0,0 +1,72 @@
+#include "answers/answers.hpp"
+
+#include <algorithm>
+
+namespace hitchfront::answers {
+using wire::Command;
+using Op = wire::Command::Op;
+namespace {
+Command command(Op op, const Attempt& a, double grace_s = 0) { return {op, a.job, a.task, a.number, grace_s}; }
+}  // namespace
+
+std::size_t Answer::room() const {
+  const auto used = ends_.size() + pairs_.size() + others_.size();
+  return used < most_ ? most_ - used : 0;
+}
+
+void Answer::end(const Attempt& a, Ms until) { ends_.push_back({command(Op::stop, a), until}); }
+
+void Answer::end_unlisted(Ms now, const Attempt& a, Ms until) {
+  if (now >= until) {
+    may_come_ = true;
+  } else if (a.number != 0 && room() >= 2) {
+    pairs_.push_back(command(Op::start, a));
+    pairs_.push_back(command(Op::stop, a));
+  }
+}
+
+void Answer::stop(const Attempt& a, double grace_s) {
+  if (room() > 0) others_.push_back(command(Op::stop, a, grace_s));
+}
+
+void Answer::clear(const Attempt& a) {
+  if (room() > 0) others_.push_back(command(Op::forget, a));
+}
+
+void Answer::launch(const Attempt& a) {
+  if (room() > 0) others_.push_back(command(Op::start, a));
+}
+
+bool Answer::renews(Ms now) const {
+  if (may_come_) return false;
+  return std::none_of(ends_.begin() + static_cast<std::ptrdiff_t>(std::min(most_, ends_.size())), ends_.end(), [&](const End& e) { return now >= e.until; });
+}
+
+std::vector<Command> Answer::commands() const {
+  std::vector<Command> out;
+  for (const auto& e : ends_) {
+    if (out.size() == most_) return out;
+    out.push_back(e.command);
+  }
+  // Whatever was added while there was room may have to give way to ends that came after it. A pair stays whole.
+  for (const auto* some : {&others_, &pairs_})
+    for (std::size_t i = 0; i < some->size(); ++i) {
+      const bool pair = some == &pairs_;
+      if (out.size() + (pair ? 2 : 1) > most_) break;
+      out.push_back((*some)[i]);
+      if (pair) out.push_back((*some)[++i]);
+    }
+  return out;
+}
+
+std::vector<std::vector<Command>> Answer::direct(bool renewed) const {
+  std::vector<std::vector<Command>> out;
+  for (std::size_t i = renewed ? most_ : 0; i < ends_.size(); i += most_) {
+    out.emplace_back();
+    for (std::size_t j = i; j < std::min(i + most_, ends_.size()); ++j) out.back().push_back(ends_[j].command);
+  }
+  if (!renewed && out.empty()) out.emplace_back();
+  return out;
+}
+
+}  // namespace hitchfront::answers
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -26,6 +26,8 @@
   std::int64_t accepted_ms = 0;  // wall clock
   Ms seen = 0;                   // steady time that corresponds to the acceptance
   bool withdrawn = false;
+  // Withdrawn: up to this instant an answer may renew the lease of a machine on which a task of it goes on.
+  Ms renew_until = 0;
   std::uint64_t version = 0;  // of live/<job>
   std::uint32_t mark = 0;     // stored: tasks below it may have been launched
   std::uint32_t mark_wanted = 0;
@@ -34,6 +36,7 @@
   bool owed = false;  // within its team's guarantee, with the team's earlier unfinished jobs
   std::uint32_t unsettled = 0;  // placements whose direct launch may still be carried out
   std::uint32_t running = 0;  // placements whose task runs or saves
+  std::uint32_t somewhere = 0;  // placements, those of tasks that are done elsewhere too
   std::uint64_t types = 0;
 
   std::set<std::uint32_t> unsure;  // tasks that an earlier leader may have launched anywhere, until its doubt is over
@@ -59,7 +62,7 @@
   std::uint32_t run_count = 0;
 
   bool complete() const { return done == spec.tasks; }
-  bool empty() const { return placed == 0 && doubt == 0; }
+  bool nowhere() const { return somewhere == 0 && doubt == 0; }
   bool active() const { return !withdrawn && !complete(); }
   std::uint32_t unfinished() const { return spec.tasks - done; }
 
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -150,6 +150,7 @@
   job->version = version;
   job->prepare(zones_.size());
   resolve(*job);
+  if (job->withdrawn) job->renew_until = renew_until(*job);
   auto* p = job.get();
   p->largest = largest_.among(p->spec.job_class, p->spec.cpus * p->spec.tasks);
   served_.accepted(who(*p));
@@ -220,12 +221,20 @@
   if (auto* job = find(id); job != nullptr && !job->withdrawn) job_withdrawn(now, *job);
 }
 
+// The least that it can be whenever the cancellation was told: not before the job was accepted, by the clocks of two nodes.
+Ms Leader::renew_until(const JobState& job) const {
+  return job.seen - static_cast<Ms>(2 * platform_.time_bound_ms) + settings::unknowing_ms(platform_);
+}
+
 void Leader::job_withdrawn(Ms now, JobState& job) {
   job.withdrawn = true;
+  // Nobody was told before the instant up to which each cancellation was known here.
+  const Ms known = leadership_.knows_until && !levels_.lost() ? leadership_.knows_until() : 0;
+  job.renew_until = std::max(renew_until(job), known);
   log(Event::job_withdrawn, job.spec.id);
   // Its tasks are told to stop at once, by direct command and in each answer until they are gone.
   for (auto* m : fleet_) {
-    if (job.placed == 0) break;
+    if (job.somewhere == 0) break;
     bool any = false;
     for (auto it = m->tasks.lower_bound({job.index, 0}); it != m->tasks.end() && it->first.first == job.index;) {
       auto next = std::next(it);
@@ -274,6 +283,7 @@
   p.task = task;
   m.tasks[{job.index, task}] = p;
   ++job.places[task];
+  ++job.somewhere;
   if (p.stage == Stage::assigned) ++m.assigned;
   if (p.stopping) m.stopping = true;
   m.room.add(size_of(job.spec), -1);
@@ -306,6 +316,7 @@
   if (it->second.stage == Stage::assigned) --m.assigned;
   if (counted(it->second.stage)) --job.running;
   unsettle(it->second, false);
+  --job.somewhere;
   m.tasks.erase(it);
   dirty_ = true;
   // Only when it is nowhere else may the task go back to waiting.
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -12,6 +12,7 @@
 #include <tuple>
 #include <unordered_set>
 
+#include "answers/answers.hpp"
 #include "core/blame.hpp"
 #include "core/jobs.hpp"
 #include "core/leadership.hpp"
@@ -114,6 +115,7 @@
     Ms held_since = 0, held_most = 0;
     std::map<TaskKey, Placement> tasks;
     std::vector<wire::ReportedTask> reported;  // the newest report's
+    std::uint64_t listed = 0;                  // that report, by this leader's count
     // Attempts of this session whose direct launch may still be carried out: never cleared, nor replaced by another attempt of
     // the same task, or it would start them again.
     std::map<std::uint64_t, TaskKey> unsettled;
@@ -150,6 +152,7 @@
   void resolve(JobState& job);  // names to indices, once machine types are known
   void remove_job(Ms now, const std::string& id);
   void job_withdrawn(Ms now, JobState& job);
+  Ms renew_until(const JobState& job) const;
 
   // reports
   void take_tasks(Ms now, Machine& m, const wire::Report& r);
@@ -158,7 +161,10 @@
   void drain_if_faulty(Machine& m);
   void failed(Ms now, Machine& m, JobState& job);
   bool answer(Ms now, Machine& m, bool force);
-  HttpCall to_machine(const Machine& m, const std::vector<wire::Command>& commands) const;
+  // What the newest report is answered with, launches aside.
+  answers::Answer what_to_say(Ms now, Machine& m);
+  bool say(Ms now, std::uint64_t request, const wire::Report& to, const answers::Answer& a);
+  HttpCall to_machine(const std::string& addr, std::uint64_t session, const std::vector<wire::Command>& commands) const;
   void stop_direct(Ms now, Machine& m);
   void launch_direct(Ms now, Machine& m);
   void direct_answered(Ms now, const std::string& machine, std::uint64_t session, const std::vector<std::pair<TaskKey, std::uint64_t>>& launched, int status, std::string_view body);
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -79,14 +79,15 @@
     // Keeps the worker's lease alive. Its tasks are in doubt until its next report, and the answer
     // lets them live on for a lease from now: the doubt has to last as long.
     doubt_over_ = std::max(doubt_over_, now + lease_ms(platform_));
-    // Of what is not loaded yet only this is known, and that lease is not to keep such tasks alive.
-    std::vector<wire::Command> stops;
+    // Of what is not loaded yet only this is known, and that lease is not to keep such tasks alive. When their users were told is not.
+    answers::Answer a(kCommandsMost);
     for (const auto& t : r->tasks) {
       const auto* job = find(t.job);
       const bool over = job != nullptr ? job->withdrawn : is_withdrawn && is_withdrawn(t.job);
-      if (over && t.state != wire::TaskState::ended && stops.size() < kCommandsMost) stops.push_back({wire::Command::Op::stop, t.job, t.task, t.attempt, 0});
+      if (over && t.state != wire::TaskState::ended) a.end({t.job, t.task, t.attempt}, 0);
     }
-    return out_.reply(request, 200, wire::report_answer(term_, stops));
+    say(now, request, *r, a);
+    return;
   }
   auto it = machines_.find(r->machine);
   Machine* m = it != machines_.end() ? it->second.get() : nullptr;
@@ -96,11 +97,11 @@
     m->born = now;
     log(Event::machine_reports, r->machine, offer_text(m->type, m->zone, r->spot), r->session);
   }
-  // The newest report once more, by another way: the answer to the first copy got lost. Renewing the
-  // lease is all it needs; a launch in the lost answer shows as absent in the next report.
+  // The newest report once more, by another way: the answer to the first copy got lost. It renews the lease as that one did, so
+  // that what has to end has to be in it again; a launch in the lost answer shows as absent in the next report.
   if (way == Way::store && r->session == m->session && r->seq == m->seq && !m->lost && m->lost_session < r->session) {
-    m->lease_over = std::max(m->lease_over, m->last_report + lease_ms(platform_));
-    return out_.reply(request, 200, wire::report_answer(term_, {}));
+    if (say(now, request, *r, what_to_say(now, *m))) m->lease_over = std::max(m->lease_over, m->last_report + lease_ms(platform_));
+    return;
   }
   // Delayed in the network: its task list is old, and the worker has given up on it.
   if (r->session < m->session || (r->session == m->session && r->seq <= m->seq))
@@ -186,7 +187,7 @@
 }
 
 void Leader::take_tasks(Ms now, Machine& m, const wire::Report& r) {
-  const auto listed = ++reports_;
+  const auto listed = m.listed = ++reports_;
   bool hears = false, swallowed = false;
   for (const auto& t : r.tasks) {
     auto* job = find(t.job);
@@ -325,48 +326,83 @@
     m.held.reset();
     return true;
   }
-  std::vector<wire::Command> commands;
+  auto a = what_to_say(now, m);
+  if (usable(now, m) && a.renews(now))
+    for (const auto& c : launches(now, m, a.room())) a.launch({c.job, c.task, c.attempt});
+  if (a.empty() && !force) return false;
+  const auto request = *m.held;
+  m.held.reset();
+  wire::Report to;
+  to.machine = m.name;
+  to.addr = m.addr;
+  to.session = m.session;
+  if (!say(now, request, to, a)) return true;
+  m.answered_at = now;
+  // The worker counts its lease from when it sent this report, which was before we received it.
+  m.lease_over = std::max(m.lease_over, m.held_since + lease_ms(platform_));
+  return true;
+}
+
+answers::Answer Leader::what_to_say(Ms now, Machine& m) {
+  answers::Answer a(kCommandsMost);
   for (const auto& t : m.reported) {
-    // An answer is bounded (PROTOCOL); what does not fit is said again in the next.
-    if (commands.size() >= kCommandsMost) break;
+    const answers::Attempt attempt{t.job, t.task, t.attempt};
     auto* job = find(t.job);
     const bool known = job != nullptr && t.task < job->spec.tasks;
     if (t.state == wire::TaskState::ended) {
-      if (m.unsettled.contains(t.attempt)) continue;
-      // A completion is stored before the worker may forget it.
-      if (!known || t.cause != wire::Cause::done || job->stored[t.task])
-        commands.push_back({wire::Command::Op::forget, t.job, t.task, t.attempt, 0});
+      // A completion is stored before the worker may forget it, unless its job is cancelled.
+      if (!m.unsettled.contains(t.attempt) && (!known || t.cause != wire::Cause::done || job->withdrawn || job->stored[t.task])) a.clear(attempt);
       continue;
     }
     if (!known || job->withdrawn || job->phase[t.task] == TaskPhase::done) {
-      commands.push_back({wire::Command::Op::stop, t.job, t.task, t.attempt, 0});
+      a.end(attempt, known && job->withdrawn ? job->renew_until : INT64_MAX);
       continue;
     }
     auto it = m.tasks.find({job->index, t.task});
     if (it != m.tasks.end() && it->second.stopping && t.state != wire::TaskState::saving) {
-      commands.push_back({wire::Command::Op::stop, t.job, t.task, t.attempt, it->second.grace_s});
+      a.stop(attempt, it->second.grace_s);
       it->second.stop_sent = now;
     }
   }
-  // A direct launch that was not answered, and does not show: the same attempt once more, which has no effect where it was
-  // carried out meanwhile. That of a withdrawn job too, to be stopped at once: from then on the machine knows the attempt,
-  // and a launch that comes late starts nothing.
-  if (!m.unsettled.empty() && !m.direct_out)
-    for (auto& [key, p] : m.tasks) {
-      if (!p.unsettled || p.attempt >> kAttemptBits < term_ || p.stage == Stage::assigned || commands.size() + 2 > kCommandsMost) continue;
-      commands.push_back({wire::Command::Op::start, p.job->spec.id, p.task, p.attempt, 0});
+  if (!m.stopping && m.unsettled.empty()) return a;
+  for (auto& [key, p] : m.tasks) {
+    if (p.stage == Stage::assigned || p.listed == m.listed) continue;
+    const bool ours = p.attempt >> kAttemptBits == term_;
+    const answers::Attempt attempt{p.job->spec.id, p.task, ours ? p.attempt : 0};
+    if (p.job->withdrawn) {
+      // Launched by an earlier leader, or by a command to the machine without an answer: it may come yet. Else it came after this
+      // report was sent, and is known there.
+      if (!ours || p.unsettled)
+        a.end_unlisted(now, attempt, p.job->renew_until);
+      else
+        a.end(attempt, p.job->renew_until);
+      if (p.unsettled) p.sent_seq = m.seq;
+    } else if (p.unsettled && ours && !m.direct_out && a.room() >= 2) {
+      // A direct launch that was not answered, and does not show: the same attempt once more, which has no effect where it was
+      // carried out meanwhile.
+      if (p.stopping || !p.job->active() || p.job->phase[p.task] == TaskPhase::done)
+        a.end_unlisted(now, attempt, INT64_MAX);
+      else
+        a.launch(attempt);
       p.sent_seq = m.seq;
-      if (p.stopping || !p.job->active() || p.job->phase[p.task] == TaskPhase::done) commands.push_back({wire::Command::Op::stop, p.job->spec.id, p.task, p.attempt, 0});
     }
-  if (usable(now, m))
-    for (auto& c : launches(now, m, kCommandsMost - std::min(commands.size(), kCommandsMost))) commands.push_back(std::move(c));
-  if (commands.empty() && !force) return false;
-  out_.reply(*m.held, 200, wire::report_answer(term_, commands));
-  m.held.reset();
-  m.answered_at = now;
-  // The worker counts its lease from when it sent this report, which was before we received it.
-  m.lease_over = std::max(m.lease_over, m.held_since + lease_ms(platform_));
-  return true;
+  }
+  return a;
+}
+
+// The one place from which a lease is renewed. What the answer can't end goes to the machine itself.
+bool Leader::say(Ms now, std::uint64_t request, const wire::Report& to, const answers::Answer& a) {
+  const bool renews = a.renews(now);
+  for (const auto& commands : a.direct(renews))
+    if (!to.addr.empty()) out_.call(to_machine(to.addr, to.session, commands), [](Ms, int, std::string_view) {});
+  if (renews) {
+    out_.reply(request, 200, wire::report_answer(term_, a.commands()));
+  } else {
+    log(Event::machine_withheld, to.machine);
+    out_.figures().add(telemetry::Count::withheld);
+    out_.reply(request, 503, wire::error_body("a task of a cancelled job can't be ended"));
+  }
+  return renews;
 }
 
 std::vector<wire::Command> Leader::launches(Ms now, Machine& m, std::size_t most) {
@@ -394,13 +430,13 @@
   return commands;
 }
 
-HttpCall Leader::to_machine(const Machine& m, const std::vector<wire::Command>& commands) const {
+HttpCall Leader::to_machine(const std::string& addr, std::uint64_t session, const std::vector<wire::Command>& commands) const {
   HttpCall c;
   c.target = Target::worker;
-  c.addr = m.addr;
+  c.addr = addr;
   c.method = Method::post;
   c.path = "/commands";
-  c.body = wire::direct_commands(term_, m.session, commands);
+  c.body = wire::direct_commands(term_, session, commands);
   c.timeout_ms = kWorkerTimeoutMs;
   return c;
 }
@@ -420,7 +456,7 @@
       launched.push_back({key, p.attempt});
     }
   m.direct_out = true;
-  auto c = to_machine(m, commands);
+  auto c = to_machine(m.addr, m.session, commands);
   out_.figures().add(telemetry::Count::direct_launches, static_cast<double>(commands.size()));
   out_.call(std::move(c), mine([this, name = m.name, session = m.session, launched = std::move(launched)](Ms t, int status, std::string_view body) {
     direct_answered(t, name, session, launched, status, body);
@@ -461,14 +497,15 @@
   for (auto& [key, p] : m.tasks) {
     if (!p.stopping || p.stage == Stage::assigned) continue;
     any = true;
-    if (p.stage == Stage::saving) continue;
+    // Nobody has any use for what a cancelled one saves.
+    if (p.stage == Stage::saving && !p.job->withdrawn) continue;
     if (p.stop_sent != 0 && now - p.stop_sent < kStopRepeatMs) continue;
     p.stop_sent = now;
     commands.push_back({wire::Command::Op::stop, p.job->spec.id, p.task, p.attempt, p.grace_s});
   }
   m.stopping = any;
   if (commands.empty()) return;
-  auto c = to_machine(m, commands);
+  auto c = to_machine(m.addr, m.session, commands);
   // What comes of it shows in the worker's next report.
   out_.call(std::move(c), [](Ms, int, std::string_view) {});
 }
--- a/src/core/leader_store.cpp
+++ b/src/core/leader_store.cpp
@@ -14,7 +14,12 @@
   // Not while a task of it may be launched yet, though it is done elsewhere: until then it counts against its team's limit.
   // Found as a limit that was passed for an instant, 38 s after the command.
   if (!job.withdrawn && job.complete() && job.unsettled == 0) return finish(now, job);
-  if (job.withdrawn && job.empty()) return finish(now, job);
+  if (job.withdrawn) {
+    // Nor while one of a cancelled job may be somewhere, though it is done elsewhere: with its end the job leaves the list of
+    // cancellations, and a late launch would be nobody's to stop. What its tasks still do is not stored.
+    if (job.nowhere()) finish(now, job);
+    return;
+  }
   std::vector<std::size_t> chunks;
   // One write for each task that ends took most of what a fleet may write; until then the worker goes on listing it.
   // Where the store is the bottleneck it waits longer: with 30 writes a second for 1,650 machines two hundred transactions
@@ -22,7 +27,7 @@
   const bool progress = now >= job.progress_at && (now - job.progress_at >= kProgressMostMs || (store_.backlog_s() <= kProgressBacklogS && progress_.can(now, 1)));
   for (std::size_t c = 0; c < job.chunks() && progress; ++c)
     if (job.chunk_dirty[c] && static_cast<int>(chunks.size()) < platform_.state_txn_ops - 1) chunks.push_back(c);
-  const bool mark = job.mark_wanted > job.mark && !job.withdrawn;
+  const bool mark = job.mark_wanted > job.mark;
   if (chunks.empty() && !mark) return;
   wire::Txn txn;
   txn.if_version("leader", leader_version_).if_version(live_key(job.spec.id), job.version);
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -147,6 +147,8 @@
       {E::machine_deaf, "machine.deaf", Level::info, true, {{"machine", K::text, R::listed}, {"tasks", K::integer, R::added}},
        "its reports arrive, and what it is told does not reach it; it gets no work, and its tasks stay its own until its lease is over"},
       {E::machine_hears, "machine.hears", Level::info, true, {{"machine", K::text, R::listed}}, "it can be reached again, and gets work"},
+      {E::machine_withheld, "machine.withheld", Level::info, true, {{"machine", K::text, R::listed}},
+       "a task of a cancelled job may come to it or go on there, and no answer can end it in time: its report is refused and its lease is not renewed"},
       {E::machine_vanished, "machine.vanished", Level::info, true, {{"machine", K::text, R::listed}, {"tasks", K::integer, R::added}},
        "the cloud's list has it no longer; it is returned, which proves its tasks gone, and they go elsewhere"},
       {E::machine_failed, "machine.failed", Level::info, true, {{"machine", K::text, R::listed}}, "the cloud lists it as stopped by itself"},
--- a/src/telemetry/events.hpp
+++ b/src/telemetry/events.hpp
@@ -64,6 +64,7 @@
   machine_lost,
   machine_deaf,
   machine_hears,
+  machine_withheld,
   machine_vanished,
   machine_failed,
   machine_rented,
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -42,6 +42,7 @@
       {"hitchfront_stops_total", "Tasks told to stop", "why", {"preempted", "emptied", "notice", "withdrawn"}},
       {"hitchfront_leases_lost_total", "Machines whose lease was over"},
       {"hitchfront_tasks_lost_total", "Tasks that were on such machines"},
+      {"hitchfront_withheld_total", "Reports refused because a task of a cancelled job could not be ended by the answer"},
       {"hitchfront_rented_total", "Machines rented"},
       {"hitchfront_returned_total", "Machines given back", "why",
        {"idle", "lost", "emptied", "taken", "failed", "faulty", "deaf", "stuck"}},
--- a/src/telemetry/figures.hpp
+++ b/src/telemetry/figures.hpp
@@ -26,6 +26,7 @@
   stops,  // by why
   leases_lost,
   tasks_lost,
+  withheld,
   rented,
   returned,  // by why
   placement_work,
