--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -14,6 +14,7 @@
 
 #include "answers/answers.hpp"
 #include "core/blame.hpp"
+#include "core/hearing.hpp"
 #include "core/jobs.hpp"
 #include "core/leadership.hpp"
 #include "core/levels.hpp"
@@ -91,7 +92,7 @@
     bool booked = false;        // and that is stored: it may be launched
     bool unsettled = false;     // launched by a direct command that may still be carried out: absence proves nothing
   };
-  using TaskKey = std::pair<std::uint64_t, std::uint32_t>;  // job index, task
+  using TaskKey = Unsettled::TaskKey;
   struct Machine {
     std::string name, addr;
     int type = -1, zone = -1;
@@ -116,17 +117,10 @@
     std::map<TaskKey, Placement> tasks;
     std::vector<wire::ReportedTask> reported;  // the newest report's
     std::uint64_t listed = 0;                  // that report, by this leader's count
-    // Attempts of this session whose direct launch may still be carried out: never cleared, nor replaced by another attempt of
-    // the same task, or it would start them again.
-    std::map<std::uint64_t, TaskKey> unsettled;
-    bool unsettled_of(const JobState& job) const {
-      return std::any_of(unsettled.begin(), unsettled.end(), [&](const auto& u) { return u.second.first == job.index; });
-    }
+    Unsettled unsettled;  // of this session
     bool direct_out = false;    // a direct launch waits for its answer
-    std::uint32_t unheard = 0;  // answers in a row of which nothing came
-    bool deaf = false;          // its reports arrive, and what it is told does not reach it
-    bool probing = false;
-    Ms answered_at = 0, deaf_since = 0, probe_at = 0;
+    Hearing hearing;
+    Ms answered_at = 0;
     std::vector<int> images;                   // most recent last
   };
   struct Rental {
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -276,7 +276,7 @@
       const bool emptied = m->emptying && m->tasks.empty() && nothing_left(*m);
       const bool drained = m->draining && m->tasks.empty();
       // What replaces it is there, and it has had time to be heard of again.
-      const bool deaf = m->deaf && m->tasks.empty() && now - m->deaf_since > lease_ms(platform_) + kLostReturnMs;
+      const bool deaf = m->hearing.deaf() && m->tasks.empty() && now - m->hearing.deaf_since() > lease_ms(platform_) + kLostReturnMs;
       const bool idle = m->up && m->confirmed && !m->lost && m->tasks.empty() && nothing_left(*m) &&
                         age >= static_cast<Ms>(kLeastPaidS * 1000) - kReturnWindowMs &&
                         unit - age % unit <= kReturnWindowMs && now - m->idle_since >= keep_ms(*m);
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -124,7 +124,7 @@
   for (std::uint32_t i = 0; i < open.size(); ++i) {
     const auto* m = open[i];
     if (!size.fits(m->room) || (m->reserved_for != 0 && m->reserved_for != job.index) || !allowed_on(job, *m)) continue;
-    if ((avoided != nullptr && avoided->contains(m->name)) || m->unsettled_of(job)) continue;
+    if ((avoided != nullptr && avoided->contains(m->name)) || m->unsettled.of_job(job.index)) continue;
     Merit r{};
     r.slow = m->pace > kSlowPace;
     r.price = price_of(*m) * size.share_of(m->whole);
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -11,35 +11,28 @@
 using portfolio::Size;
 
 bool Leader::usable(Ms now, const Machine& m) const {
-  return m.up && m.confirmed && !m.lost && !m.deaf && !m.vanished && !m.draining && !m.emptying && !m.releasing && !m.failed && m.taken_at == 0 &&
+  return m.up && m.confirmed && !m.lost && !m.hearing.deaf() && !m.vanished && !m.draining && !m.emptying && !m.releasing && !m.failed && m.taken_at == 0 &&
          now - m.last_report < silent_ms(platform_);
 }
 
 bool Leader::missed(Ms now, const Machine& m) const {
-  return m.up && !m.lost && !m.failed && !m.releasing && m.taken_at == 0 && (m.deaf || m.vanished || now - m.last_report > silent_ms(platform_) + kMissedMs);
+  return m.up && !m.lost && !m.failed && !m.releasing && m.taken_at == 0 && (m.hearing.deaf() || m.vanished || now - m.last_report > silent_ms(platform_) + kMissedMs);
 }
 
-// What it is told does not reach it, though its reports arrive: launches that never show, a token that stays behind, a session
-// that ends though its reports were answered. It gets nothing more, counts as missing, so that what replaces it is
-// rented, and is asked directly from time to time whether it can be reached again. Its tasks count as there until they are
-// proved gone, like anybody's: a lease that no answer renews is over by itself, and its next report tells.
+// It gets nothing more, counts as missing, so that what replaces it is rented, and is asked directly from time to time whether it
+// can be reached again. Its tasks count as there until they are proved gone, like anybody's: a lease that no answer renews is
+// over by itself, and its next report tells.
 void Leader::not_heard(Ms now, Machine& m, std::uint32_t times) {
-  m.unheard += times;
-  if (m.deaf || m.unheard < kDeafAnswers) return;
-  m.deaf = true;
-  m.deaf_since = now;
-  m.probe_at = now + kDeafProbeMs;
-  log(Event::machine_deaf, m.name, m.tasks.size());
+  if (m.hearing.missed(now, times)) log(Event::machine_deaf, m.name, m.tasks.size());
 }
 
 void Leader::heard(Machine& m) {
-  m.unheard = 0;
-  if (std::exchange(m.deaf, false)) log(Event::machine_hears, m.name);
+  if (m.hearing.heard()) log(Event::machine_hears, m.name);
 }
 
 void Leader::probe(Ms now, Machine& m) {
-  if (!m.deaf || m.probing || now < m.probe_at || m.addr.empty() || !may_act(now)) return;
-  m.probing = true;
+  if (!m.hearing.may_probe(now) || m.addr.empty() || !may_act(now)) return;
+  m.hearing.probe();
   HttpCall c;
   c.target = Target::worker;
   c.addr = m.addr;
@@ -48,13 +41,8 @@
   out_.call(std::move(c), mine([this, name = m.name](Ms t, int status, std::string_view) {
     const auto it = machines_.find(name);
     if (it == machines_.end()) return;
-    it->second->probing = false;
-    it->second->probe_at = t + kDeafProbeMs;
-    // A first launch shows whether answers reach it, too.
-    if (status != 200) return;
-    heard(*it->second);
-    it->second->unheard = kDeafAnswers - 1;
-    dirty_ = true;
+    if (it->second->hearing.probed(t, status == 200)) log(Event::machine_hears, name);
+    if (status == 200) dirty_ = true;
   }));
 }
 
@@ -126,7 +114,7 @@
     }
     log(Event::machine_session, m->name, r->session);
     // No launch of an earlier session is carried out in this one.
-    m->unsettled.clear();
+    m->unsettled.session_over();
     // Its lease ran out though it was answered all along. One that hung, or was cut off, was not.
     if (m->confirmed && m->answered_at != 0 && now - m->answered_at < lease_ms(platform_) / 2) not_heard(now, *m, kDeafAnswers);
   }
@@ -450,7 +438,7 @@
 // Where the next report is seconds away, a launch that is stored goes to the machine itself. It may be carried out late, as
 // long as token and session are the same: docs/safety.md, "Direct launches", says why that breaks nothing.
 void Leader::launch_direct(Ms now, Machine& m) {
-  if (!direct_on_ || m.held || m.direct_out || m.unheard > 0 || m.assigned == 0 || m.addr.empty() || !usable(now, m) || !may_act(now)) return;
+  if (!direct_on_ || m.held || m.direct_out || m.hearing.doubted() || m.assigned == 0 || m.addr.empty() || !usable(now, m) || !may_act(now)) return;
   if (m.last_report + report_ms(platform_) - now < kDirectWorthMs) return;
   const auto commands = launches(now, m, kCommandsMost);
   if (commands.empty()) return;
@@ -458,7 +446,7 @@
   for (auto& [key, p] : m.tasks)
     if (p.stage == Stage::sent && std::any_of(commands.begin(), commands.end(), [&](const auto& c) { return c.attempt == p.attempt; })) {
       unsettle(p, true);
-      m.unsettled.emplace(p.attempt, key);
+      m.unsettled.add(p.attempt, key);
       launched.push_back({key, p.attempt});
     }
   m.direct_out = true;
@@ -484,7 +472,7 @@
     return;
   }
   for (const auto& [key, attempt] : launched) {
-    m.unsettled.erase(attempt);
+    m.unsettled.settle(attempt);
     const auto it = m.tasks.find(key);
     if (it == m.tasks.end() || it->second.attempt != attempt || it->second.stage != Stage::sent) continue;
     unsettle(it->second, false);
@@ -541,7 +529,7 @@
   // Without the right to act it answers nobody, and says no leases are over that a successor may have renewed.
   if (!may_act(now)) return;
   for (auto* m : fleet_) {
-    if (m->deaf) probe(now, *m);
+    probe(now, *m);
     if (m->lost || !(m->up || m->rostered) || now <= m->lease_over) continue;
     if (m->rostered) {
       ++silent_;
@@ -556,7 +544,7 @@
       out_.reply(*m->held, 503, wire::error_body("lease over"));
       m->held.reset();
     }
-    m->unsettled.clear();  // its session is over
+    m->unsettled.session_over();  // its session is over
     log(Event::machine_lost, m->name, m->tasks.size());
     out_.figures().add(telemetry::Count::leases_lost);
     out_.figures().add(telemetry::Count::tasks_lost, static_cast<double>(m->tasks.size()));
