--- a/src/answers/answers.cpp
+++ b/src/answers/answers.cpp
@@ -10,7 +10,7 @@
 }  // namespace
 
 std::size_t Answer::room() const {
-  const auto used = ends_.size() + pairs_.size() + others_.size();
+  const auto used = ends_.size() + 2 * pairs_.size() + others_.size();
   return used < most_ ? most_ - used : 0;
 }
 
@@ -20,8 +20,7 @@
   if (now >= until) {
     may_come_ = true;
   } else if (a.number != 0 && room() >= 2) {
-    pairs_.push_back(command(Op::start, a));
-    pairs_.push_back(command(Op::stop, a));
+    pairs_.push_back(a);
   }
 }
 
@@ -48,14 +47,16 @@
     if (out.size() == most_) return out;
     out.push_back(e.command);
   }
-  // Whatever was added while there was room may have to give way to ends that came after it. A pair stays whole.
-  for (const auto* some : {&others_, &pairs_})
-    for (std::size_t i = 0; i < some->size(); ++i) {
-      const bool pair = some == &pairs_;
-      if (out.size() + (pair ? 2 : 1) > most_) break;
-      out.push_back((*some)[i]);
-      if (pair) out.push_back((*some)[++i]);
-    }
+  // Whatever was added while there was room may have to give way to ends that came after it.
+  for (const auto& c : others_) {
+    if (out.size() == most_) return out;
+    out.push_back(c);
+  }
+  for (const auto& a : pairs_) {
+    if (out.size() + 2 > most_) return out;
+    out.push_back(command(Op::start, a));
+    out.push_back(command(Op::stop, a));
+  }
   return out;
 }
 
--- a/src/answers/answers.hpp
+++ b/src/answers/answers.hpp
@@ -56,7 +56,8 @@
   };
   std::size_t most_;
   std::vector<End> ends_;
-  std::vector<wire::Command> pairs_, others_;
+  std::vector<Attempt> pairs_;  // launched and stopped, whole or not at all
+  std::vector<wire::Command> others_;
   bool may_come_ = false;  // something that can't be ended by this answer may still come, past its time
 };
 
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -157,7 +157,7 @@
   bool answer(Ms now, Machine& m, bool force);
   // What the newest report is answered with, launches aside.
   answers::Answer what_to_say(Ms now, Machine& m);
-  bool say(Ms now, std::uint64_t request, const wire::Report& to, const answers::Answer& a);
+  bool say(Ms now, std::uint64_t request, const std::string& machine, const std::string& addr, std::uint64_t session, const answers::Answer& a);
   HttpCall to_machine(const std::string& addr, std::uint64_t session, const std::vector<wire::Command>& commands) const;
   void stop_direct(Ms now, Machine& m);
   void launch_direct(Ms now, Machine& m);
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -74,7 +74,7 @@
       const bool over = job != nullptr ? job->withdrawn : is_withdrawn && is_withdrawn(t.job);
       if (over && t.state != wire::TaskState::ended) a.end({t.job, t.task, t.attempt}, 0);
     }
-    say(now, request, *r, a);
+    say(now, request, r->machine, r->addr, r->session, a);
     return;
   }
   auto it = machines_.find(r->machine);
@@ -88,7 +88,7 @@
   // The newest report once more, by another way: the answer to the first copy got lost. It renews the lease as that one did, so
   // that what has to end has to be in it again; a launch in the lost answer shows as absent in the next report.
   if (way == Way::store && r->session == m->session && r->seq == m->seq && !m->lost && m->lost_session < r->session) {
-    if (say(now, request, *r, what_to_say(now, *m))) m->lease_over = std::max(m->lease_over, m->last_report + lease_ms(platform_));
+    if (say(now, request, r->machine, r->addr, r->session, what_to_say(now, *m))) m->lease_over = std::max(m->lease_over, m->last_report + lease_ms(platform_));
     return;
   }
   // Delayed in the network: its task list is old, and the worker has given up on it.
@@ -326,11 +326,7 @@
   if (a.empty() && !force) return false;
   const auto request = *m.held;
   m.held.reset();
-  wire::Report to;
-  to.machine = m.name;
-  to.addr = m.addr;
-  to.session = m.session;
-  if (!say(now, request, to, a)) return true;
+  if (!say(now, request, m.name, m.addr, m.session, a)) return true;
   m.answered_at = now;
   // The worker counts its lease from when it sent this report, which was before we received it.
   m.lease_over = std::max(m.lease_over, m.held_since + lease_ms(platform_));
@@ -385,14 +381,14 @@
 }
 
 // The one place from which a lease is renewed. What the answer can't end goes to the machine itself.
-bool Leader::say(Ms now, std::uint64_t request, const wire::Report& to, const answers::Answer& a) {
+bool Leader::say(Ms now, std::uint64_t request, const std::string& machine, const std::string& addr, std::uint64_t session, const answers::Answer& a) {
   const bool renews = a.renews(now);
   for (const auto& commands : a.direct(renews))
-    if (!to.addr.empty()) out_.call(to_machine(to.addr, to.session, commands), [](Ms, int, std::string_view) {});
+    if (!addr.empty()) out_.call(to_machine(addr, session, commands), [](Ms, int, std::string_view) {});
   if (renews) {
     out_.reply(request, 200, wire::report_answer(term_, a.commands()));
   } else {
-    log(Event::machine_withheld, to.machine);
+    log(Event::machine_withheld, machine);
     out_.figures().add(telemetry::Count::withheld);
     out_.reply(request, 503, wire::error_body("a task of a cancelled job can't be ended"));
   }
@@ -544,7 +540,7 @@
       out_.reply(*m->held, 503, wire::error_body("lease over"));
       m->held.reset();
     }
-    m->unsettled.session_over();  // its session is over
+    m->unsettled.session_over();
     log(Event::machine_lost, m->name, m->tasks.size());
     out_.figures().add(telemetry::Count::leases_lost);
     out_.figures().add(telemetry::Count::tasks_lost, static_cast<double>(m->tasks.size()));
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -244,6 +244,7 @@
   void look_closely(std::size_t user);
   void ask_oddly();
   void cancel_running(int jobs, std::int64_t hang_ms);
+  void hang(standins::Worker& w, std::int64_t ms);
   void look_for_neglected();
   bool matches(const std::string& pattern, const std::string& worker) const;
   void say_kept_reports();
