--- a/drills/drill.cpp
+++ b/drills/drill.cpp
@@ -66,7 +66,7 @@
       judge_.leave(place, id, t);
       told({{"event", "left"}, {"task", id + "/" + std::to_string(t)}, {"machine", place.name}});
     };
-    host_->on_done = [this](const auto&, const std::string& id, std::uint32_t t) { judge_.done(id, t); };
+    host_->on_done = [this](const auto&, const std::string& id, std::uint32_t t) { judge_.done(now(), id, t); };
     judge_.team_limit["red"] = 16;
     judge_.cancel_ms = kCancelMs;
   }
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -30,7 +30,7 @@
 Controller::Controller(Platform platform, std::uint64_t seed, Operator op, rollout::Support support)
     : platform_(std::move(platform)),
       operator_(std::move(op)),
-      store_(out_, platform_.state_rps, platform_.state_write_rps, platform_.nodes),
+      store_(out_, platform_.store.requests_per_s, platform_.store.writes_per_s, platform_.nodes),
       levels_(out_, store_, platform_, support, static_cast<std::uint32_t>(operator_.get("level_most", {})), std::mt19937_64(seed + 29)()),
       copies_(store_),
       vouchers_(all_peers(platform_)),
@@ -57,12 +57,14 @@
   front_.may_tell_withdrawn = [this](Ms now, const std::string& job) {
     return now >= leadership_.bound_until() || !cancelled_.contains(job) || cancelled_.is_taken(job);
   };
+  front_.may_await = [this] { return levels_.level().active >= kAwaitsLevel; };
   leadership_.knows_until = [this] { return knows_until(); };
   leadership_.on_won = [this, read_all](Ms now) {
     vouchers_.begin();
     leader_ = std::make_unique<Leader>(out_, store_, leadership_, levels_, platform_, operator_, random_(), wall_minus_steady_);
     leader_->set_step_rate(step_rate_);
     leader_->is_withdrawn = [this](const std::string& job) { return cancelled_.contains(job); };
+    leader_->final_of = [this](const std::string& job) { return copies_.copy().final_of(job); };
     leader_->on_read_all = read_all;
     leader_->on_marked = [this](const wire::LiveRecord& record) {
       if (levels_.heeds()) front_.marked(record.job.id, record);
--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -146,8 +146,9 @@
 
 void Front::answer_known(Ms now, std::uint64_t request, const std::string& id, const Found& f) {
   if (f.over ? f.over->withdrawn : f.live->withdrawn) return tell_withdrawn(now, request, id, wire::job_status(id, wire::kWithdrawn));
-  const auto status = f.over ? word(*f.over) : f.live->mark > kMarkAtOnce ? wire::kRunning : wire::kPending;
-  out_.reply(request, 200, wire::job_status(id, status));
+  if (f.over) return out_.reply(request, 200, wire::job_status(id, word(*f.over)));
+  const auto status = f.live->mark > kMarkAtOnce ? wire::kRunning : wire::kPending;
+  unless_cancelled_with(now, request, id, f.live->job.awaits, [this, request, id, status](Ms) { out_.reply(request, 200, wire::job_status(id, status)); });
 }
 
 void Front::tell_withdrawn(Ms now, std::uint64_t request, const std::string& id, std::string body) {
@@ -192,13 +193,97 @@
   const std::uint32_t mark = std::min(parsed.job->tasks, kMarkAtOnce);
   wire::LiveRecord record{std::move(*parsed.job), wall_ms, false, mark};
   const std::string value = wire::encode(record);
-  if (value.size() > platform_.state_value_kb * 1024)
+  if (value.size() + wire::kRecordGrowth > platform_.store.value_bytes())
     return deny(request, 400, {"", "description too large"});
   // A process that has just started and has heard nobody may stand before a store that has lost this very job's end.
   if (!heard_(now)) return refuse(request, Refusal::again);
+  if (!record.job.awaits.empty()) return accept_awaiting(now, request, id, record);
   accept(now, request, id, record, true);
 }
 
+void Front::accept_awaiting(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record) {
+  std::vector<std::string> unknown;
+  for (const auto& name : record.job.awaits)
+    if (!copy_.knows(name)) unknown.push_back(name);
+  const bool allowed = !may_await || may_await();
+  if (allowed && unknown.empty()) return look_up_awaited(now, request, id, record, {});
+  // A repeat of an accepted job is answered whatever it awaits.
+  look_up(now, id, [this, request, id, record, unknown, allowed](Ms t, const Found& f) {
+    if (f.failed) return refuse(request, Refusal::store);
+    if (f.live || f.over) return answer_known(t, request, id, f);
+    if (!allowed) return refuse(request, Refusal::level);
+    look_up_awaited(t, request, id, record, unknown);
+  });
+}
+
+// One of `unknown` after the other; then the job is accepted, cancelled from the start where one that it awaits is.
+void Front::look_up_awaited(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, std::vector<std::string> unknown) {
+  if (!unknown.empty()) {
+    const auto name = unknown.back();
+    unknown.pop_back();
+    return look_up(now, name, [this, request, id, record, name, unknown = std::move(unknown), known = copy_.knows(name)](Ms t, const Found& f) {
+      if (f.failed) return refuse(request, Refusal::store);
+      if (f.live && f.live->job.form == wire::Form::service) return deny(request, 422, {"Awaits", name + " is a service, which is never done"});
+      if (f.live || f.over) return look_up_awaited(t, request, id, record, unknown);
+      if (may_be_new(t, request, known)) deny(request, 422, {"Awaits", name + " was never accepted"});
+    });
+  }
+  auto accepted = record;
+  for (const auto& name : record.job.awaits) {
+    if (const auto bad = cannot_be_awaited(name)) return deny(request, 422, *bad);
+    accepted.withdrawn = accepted.withdrawn || is_cancelled(name);
+  }
+  accept(now, request, id, accepted, true);
+}
+
+std::optional<wire::BadField> Front::cannot_be_awaited(const std::string& id) const {
+  const auto it = copy_.unfinished().find(id);
+  if (it == copy_.unfinished().end()) return std::nullopt;
+  const auto record = wire::decode_live(nlohmann::json::parse(it->second.record, nullptr, false));
+  if (!record || record->job.form != wire::Form::service) return std::nullopt;
+  return wire::BadField{"Awaits", id + " is a service, which is never done"};
+}
+
+bool Front::is_cancelled(const std::string& id) const {
+  const auto final = known_final(id);
+  return final ? final->withdrawn : copy_.is_withdrawn(id);
+}
+
+// Done means that all that it needed was done: nothing before it has to be looked at.
+void Front::search_needs(Ms now, const std::shared_ptr<NeedsSearch>& search, const OnNeeds& done) {
+  while (!search->open.empty()) {
+    const auto name = std::move(search->open.back());
+    search->open.pop_back();
+    if (!search->seen.insert(name).second) continue;
+    if (is_cancelled(name)) return done(now, Needs::something_cancelled);
+    if (known_final(name)) continue;
+    if (const auto* job = view_.find(name)) {
+      if (job->withdrawn) return done(now, Needs::something_cancelled);
+      search->open.insert(search->open.end(), job->awaits.begin(), job->awaits.end());
+      continue;
+    }
+    return look_up(now, name, [this, search, done](Ms t, const Found& f) {
+      if (f.failed || (!f.live && !f.over)) return done(t, Needs::unknown);
+      if (f.over ? f.over->withdrawn : f.live->withdrawn) return done(t, Needs::something_cancelled);
+      if (f.live) search->open.insert(search->open.end(), f.live->job.awaits.begin(), f.live->job.awaits.end());
+      search_needs(t, search, done);
+    });
+  }
+  done(now, Needs::nothing_cancelled);
+}
+
+void Front::unless_cancelled_with(Ms now, std::uint64_t request, const std::string& id, const std::vector<std::string>& awaits,
+                                  std::function<void(Ms now)> otherwise) {
+  if (awaits.empty()) return otherwise(now);
+  const auto search = std::make_shared<NeedsSearch>();
+  search->open = awaits;
+  search_needs(now, search, [this, request, id, otherwise = std::move(otherwise)](Ms t, Needs needs) {
+    if (needs == Needs::unknown) return refuse(request, Refusal::store);
+    if (needs == Needs::something_cancelled) return cancel(t, request, id);
+    otherwise(t);
+  });
+}
+
 void Front::known_again(Ms now, std::uint64_t request, const std::string& id) {
   if (store_.unreachable(now)) return refuse(request, Refusal::store);
   view_.ask(now, id, [this, request, id](Ms t, bool known, const LiveView::Job* job) {
@@ -208,7 +293,8 @@
         remember(id, {true, 0});
         return tell_withdrawn(t, request, id, wire::job_status(id, wire::kWithdrawn));
       }
-      return out_.reply(request, 200, wire::job_status(id, job->launched ? wire::kRunning : wire::kPending));
+      const auto status = job->launched ? wire::kRunning : wire::kPending;
+      return unless_cancelled_with(t, request, id, job->awaits, [this, request, id, status](Ms) { out_.reply(request, 200, wire::job_status(id, status)); });
     }
     look_up(t, id, [this, request, id](Ms t2, const Found& f) {
       if (f.failed) return refuse(request, Refusal::store);
@@ -221,6 +307,7 @@
 }
 
 void Front::accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, bool again) {
+  if (!record.job.awaits.empty() && may_await && !may_await()) return refuse(request, Refusal::level);
   wire::Txn txn;
   txn.if_version(live_key(id), 0).if_version(over_key(id), 0).put(live_key(id), wire::encode(record));
   const bool known = copy_.knows(id);
@@ -232,6 +319,7 @@
         return refuse(request, Refusal::level);
       }
       told_live(id, record);
+      if (record.withdrawn) return tell_withdrawn(t, request, id, wire::job_status(id, wire::kWithdrawn));
       return out_.reply(request, 201, wire::job_status(id, wire::kPending));
     }
     // Without an answer the job may have been stored or may be later: the user's retry, under the
@@ -260,16 +348,20 @@
       remember(id, {true, 0});
       return tell_withdrawn(t, request, id, wire::job_answer(id, wire::kWithdrawn, 0, 0));
     }
-    if (!job->marked) return out_.reply(request, 200, wire::job_answer(id, wire::kPending, 0, 0));
-    ask_(t, id, [this, request, id, launched = job->launched](Ms, std::optional<Counts> c) {
-      const bool idle = c ? c->running == 0 : !launched;
-      out_.reply(request, 200,
-                 wire::job_answer(id, idle ? wire::kPending : wire::kRunning, c ? c->done : 0,
-                                  c ? c->running : 0));
+    unless_cancelled_with(t, request, id, job->awaits, [this, request, id, marked = job->marked, launched = job->launched](Ms t2) {
+      tell_unfinished(t2, request, id, marked, launched);
     });
   });
 }
 
+void Front::tell_unfinished(Ms now, std::uint64_t request, const std::string& id, bool marked, bool launched) {
+  if (!marked) return out_.reply(request, 200, wire::job_answer(id, wire::kPending, 0, 0));
+  ask_(now, id, [this, request, id, launched](Ms, std::optional<Counts> c) {
+    const bool idle = c ? c->running == 0 : !launched;
+    out_.reply(request, 200, wire::job_answer(id, idle ? wire::kPending : wire::kRunning, c ? c->done : 0, c ? c->running : 0));
+  });
+}
+
 void Front::tell_final(Ms now, std::uint64_t request, const std::string& id, const wire::OverRecord& record) {
   auto body = wire::job_answer(id, word(record), record.done, 0);
   if (record.withdrawn) return tell_withdrawn(now, request, id, std::move(body));
@@ -316,7 +408,9 @@
     record.withdrawn = true;
     wire::Txn txn;
     // Cancelled and done race by the record's version: one wins, and the other answer follows it.
-    txn.if_version(live_key(id), f.version).put(live_key(id), wire::encode(record));
+    std::vector<std::string> known_types;
+    for (const auto& type : types_) known_types.push_back(type.name);
+    txn.if_version(live_key(id), f.version).put(live_key(id), wire::encode_within(record, platform_.store.value_bytes(), known_types));
     store_.commit(t, Rank::user, txn, [this, request, id, tries, record](Ms t2, int status, std::string_view) {
       if (status == 200) {
         told_live(id, record);
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -1,7 +1,9 @@
 // The users' side: accepts, answers and cancels through the store, on any node.
 #pragma once
 #include <deque>
+#include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 #include "core/live_view.hpp"
@@ -50,6 +52,8 @@
   std::function<void(const std::string& key, std::uint64_t stamp)> on_read;  // an unfinished job's record
   // Whether a user may be told now that this job, which is not over, is cancelled (docs/safety.md, "Every cancellation that was told").
   std::function<bool(Ms, const std::string& id)> may_tell_withdrawn;
+  // Whether every controller knows jobs that await others.
+  std::function<bool()> may_await;
   LiveView& view() { return view_; }
 
  private:
@@ -62,6 +66,24 @@
   void look_up(Ms now, const std::string& id, std::function<void(Ms, const Found&)> done);
   // `again`: tried once more where it is refused and the job is still unknown.
   void accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, bool again);
+  // A submission that awaits others: each of them must have been accepted.
+  void accept_awaiting(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record);
+  void look_up_awaited(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, std::vector<std::string> unknown);
+  std::optional<wire::BadField> cannot_be_awaited(const std::string& id) const;
+  bool is_cancelled(const std::string& id) const;  // as far as is known here without asking the store
+  // Whether a job that needs these, directly or through others, is cancelled with one of them, by what is stored.
+  enum class Needs { nothing_cancelled, something_cancelled, unknown };
+  struct NeedsSearch {
+    std::vector<std::string> open;
+    std::set<std::string> seen;
+  };
+  using OnNeeds = std::function<void(Ms now, Needs needs)>;
+  void search_needs(Ms now, const std::shared_ptr<NeedsSearch>& search, const OnNeeds& done);
+  // Calls `otherwise` unless the job has to be cancelled with one that it needs. Then that is stored and told; nobody is to
+  // be told that it waits because no leader has come to it.
+  void unless_cancelled_with(Ms now, std::uint64_t request, const std::string& id, const std::vector<std::string>& awaits,
+                             std::function<void(Ms now)> otherwise);
+  void tell_unfinished(Ms now, std::uint64_t request, const std::string& id, bool marked, bool launched);
   void tell_final(Ms now, std::uint64_t request, const std::string& id, const wire::OverRecord& record);
   // A repeat of what this node knows to have been accepted; by the read that polls share, so that it costs no write.
   void known_again(Ms now, std::uint64_t request, const std::string& id);
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -72,7 +72,7 @@
 
 std::size_t JobState::of_other_form(wire::ProgressForm form) const {
   std::size_t n = 0;
-  for (std::size_t c = 0; c < chunks(); ++c) n += chunk_version[c] != 0 && chunk_form[c] != form ? 1 : 0;
+  for (std::size_t c = 0; c < chunks(); ++c) n += chunk_version[c] != 0 && !wire::is_of_form(chunk_form[c], form) ? 1 : 0;
   return n;
 }
 
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -24,8 +24,11 @@
   wire::Job spec;
   std::uint64_t index = 0;  // of this process, never reused
   std::int64_t accepted_ms = 0;  // wall clock
-  Ms seen = 0;                   // steady time that corresponds to the acceptance
+  Ms submitted = 0;              // steady time that corresponds to the acceptance
+  Ms seen = 0;                   // the same, or when the last job that it awaits was done: waits count from here
   bool withdrawn = false;
+  bool waits = false;  // for other jobs: nothing of it may start, and it holds no part of a limit or guarantee
+  wire::Priority priority = wire::Priority::normal;  // its own, or that of a job that awaits it
   // Withdrawn: up to this instant an answer may renew the lease of a machine on which a task of it goes on.
   Ms renew_until = 0;
   std::uint64_t version = 0;  // of live/<job>
@@ -63,7 +66,7 @@
 
   bool complete() const { return done == spec.tasks; }
   bool nowhere() const { return somewhere == 0 && doubt == 0; }
-  bool active() const { return !withdrawn && !complete(); }
+  bool active() const { return !withdrawn && !waits && !complete(); }
   std::uint32_t unfinished() const { return spec.tasks - done; }
 
   void prepare(std::size_t zones);
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -36,8 +36,8 @@
       wall_minus_steady_(wall_minus_steady),
       roster_on_(op.get("roster", {}) != 0),
       direct_on_(roster_on_ && op.get("direct", {}) != 0),
-      roster_({std::min(kRosterChunkMost, static_cast<std::size_t>(platform.state_value_kb * 1024 * kRosterChunkShare)), kRosterBatchMost,
-               platform.state_txn_ops, std::max(1.0, platform.state_write_rps * kStoreShare * (platform.nodes > 1 ? kLeaderShare : 1) * kRosterShare),
+      roster_({std::min(kRosterChunkMost, static_cast<std::size_t>(static_cast<double>(platform.store.value_bytes()) * kRosterChunkShare)), kRosterBatchMost,
+               platform.store.transaction_changes, std::max(1.0, platform.store.writes_per_s * kStoreShare * (platform.nodes > 1 ? kLeaderShare : 1) * kRosterShare),
                kRosterSoonMs}),
       zones_(platform.zones),
       cloud_(platform.cloud_rps * kStoreShare, platform.cloud_rps),
@@ -104,6 +104,8 @@
 
 void Leader::loaded(Ms now) {
   loaded_ = true;
+  for (const auto& [id, job] : jobs_) inherit_priority(*job);
+  resolve_awaited(now);
   handed_whole_ = roster_on_ && leadership_.roster_whole();
   take_roster(now);
   std::size_t doubt = 0, machines = 0, placed = 0;
@@ -114,7 +116,10 @@
     }
     placed += job->placed;
     doubt += job->doubt;
-    if (leadership_.roster_whole()) continue;
+    // What waits for a job that is not over was never launched by anybody.
+    const auto awaited = graph_.first_awaited(id);
+    const bool never_launched = job->waits && find(awaited) != nullptr;
+    if (leadership_.roster_whole() || never_launched) continue;
     for (std::uint32_t t = 0; t < std::min(job->mark, job->spec.tasks); ++t) {
       if (job->phase[t] != TaskPhase::waiting) continue;
       job->set(t, TaskPhase::doubt);
@@ -144,7 +149,8 @@
   job->spec = std::move(record->job);
   job->index = next_job_++;
   job->accepted_ms = record->accepted_ms;
-  job->seen = std::min(now, record->accepted_ms - wall_minus_steady_);
+  job->submitted = job->seen = std::min(now, record->accepted_ms - wall_minus_steady_);
+  job->priority = job->spec.priority;
   job->withdrawn = record->withdrawn || (is_withdrawn && is_withdrawn(id));
   job->mark = job->mark_wanted = record->mark;
   job->version = version;
@@ -155,6 +161,8 @@
   p->largest = largest_.among(p->spec.job_class, p->spec.cpus * p->spec.tasks);
   served_.accepted(who(*p));
   jobs_[id] = std::move(job);
+  await_others(*p);
+  inherit_priority(*p);
   dirty_ = true;
   return p;
 }
@@ -211,6 +219,7 @@
       if (job != nullptr && job->withdrawn) persist(t, *job);
     }
     if (on_read_all) on_read_all(asked);
+    resolve_awaited(t);
     watch_live(t);
     schedule(t);
   }));
@@ -223,7 +232,7 @@
 
 // The least that it can be whenever the cancellation was told: not before the job was accepted, by the clocks of two nodes.
 Ms Leader::renew_until(const JobState& job) const {
-  return job.seen - static_cast<Ms>(2 * platform_.time_bound_ms) + settings::unknowing_ms(platform_);
+  return job.submitted - static_cast<Ms>(2 * platform_.time_bound_ms) + settings::unknowing_ms(platform_);
 }
 
 void Leader::job_withdrawn(Ms now, JobState& job) {
@@ -250,6 +259,7 @@
     }
     if (any && !answer(now, *m, false)) stop_direct(now, *m);
   }
+  settle_awaited(now, job.spec.id, dependencies::Outcome::cancelled, false);
 }
 
 void Leader::remove_job(Ms now, const std::string& id) {
@@ -265,7 +275,9 @@
     }
   count_team(job, -static_cast<double>(job.doubt));
   blame_.forget_job(job.index);
+  graph_.remove(id);
   jobs_.erase(it);
+  look_for_outcome(id);
   dirty_ = true;
 }
 
@@ -377,6 +389,7 @@
   f.set(Gauge::machines, booting, 1);
   f.set(Gauge::machines, lost, 2);
   f.set(Gauge::machines, leaving, 3);
+  f.set(Gauge::jobs_waiting, static_cast<double>(graph_.waiting()));
   f.set(Gauge::doubt, doubt + unheard);
   f.set(Gauge::held, held);
   for (const auto& r : served_.rows()) {
@@ -402,7 +415,7 @@
   std::vector<telemetry::Served::Open> open;
   open.reserve(jobs_.size());
   for (const auto& [id, job] : jobs_)
-    if (!job->withdrawn) open.push_back({who(*job), job->ran, now - job->seen});
+    if (!job->withdrawn && !job->waits) open.push_back({who(*job), job->ran, now - job->seen});
   for (const auto& r : served_.look(now, open)) log(Event::served_low, telemetry::name(r.by), r.name, r.share, r.waiting, r.oldest_s, static_cast<std::uint64_t>(r.accepted));
 }
 
@@ -464,6 +477,7 @@
       job->write_after = 0;
       persist(now, *job);
     }
+  resolve_awaited(now);
   // Pauses that end and machines heard again change what can be placed without an event of their own.
   if (now >= stir_at_) {
     stir_at_ = now + kStirMs;
@@ -493,6 +507,11 @@
     if (types_[i].name == name) return static_cast<int>(i);
   return -1;
 }
+std::vector<std::string> Leader::type_names() const {
+  std::vector<std::string> names;
+  for (const auto& type : types_) names.push_back(type.name);
+  return names;
+}
 int Leader::zone_index(const std::string& name) const {
   for (std::size_t i = 0; i < zones_.size(); ++i)
     if (zones_[i] == name) return static_cast<int>(i);
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -19,6 +19,7 @@
 #include "core/leadership.hpp"
 #include "core/levels.hpp"
 #include "core/store_client.hpp"
+#include "dependencies/graph.hpp"
 #include "portfolio/predictor.hpp"
 #include "portfolio/selector.hpp"
 #include "roster/roster.hpp"
@@ -64,6 +65,8 @@
   void withdrawn(Ms now, const std::string& job);
   // The same, asked of a job that is read only now, or of a task that a machine lists while nothing has been read yet.
   std::function<bool(const std::string& job)> is_withdrawn;
+  // A final state that this node knows to be stored.
+  std::function<std::optional<wire::OverRecord>(const std::string& job)> final_of;
   // Everything stored before `asked` has been read.
   std::function<void(Ms asked)> on_read_all;
   // A job's launch mark was stored; before any launch beyond it.
@@ -148,6 +151,14 @@
   void job_withdrawn(Ms now, JobState& job);
   Ms renew_until(const JobState& job) const;
 
+  // jobs that await others
+  void await_others(JobState& job);
+  void inherit_priority(const JobState& job);
+  void resolve_awaited(Ms now);
+  void ask_final(Ms now, const std::string& name);
+  void settle_awaited(Ms now, const std::string& name, dependencies::Outcome outcome, bool just_now);
+  void look_for_outcome(const std::string& name);
+
   // reports
   void take_tasks(Ms now, Machine& m, const wire::Report& r);
   void gone(Ms now, Machine& m, TaskKey key);
@@ -186,7 +197,7 @@
   bool allowed_on(const JobState& job, const Machine& m) const;
   void schedule(Ms now);
   void place(Ms now);
-  bool late(const JobState& job, double wait_s) const;
+  bool late(const JobState& job, double since_submission_s) const;
   bool in_limit(const JobState& job) const;  // one more task of it
   bool entitled(const JobState& job) const;
   bool is_guest(const JobState& job) const;
@@ -263,6 +274,7 @@
   bool may_act(Ms now) const { return leadership_.may_act(now) && leadership_.term() == term_; }
   JobState* find(const std::string& id);
   int type_index(const std::string& name) const;
+  std::vector<std::string> type_names() const;
   int zone_index(const std::string& name) const;
   int image_index(const std::string& name);
   template <class... T>
@@ -316,6 +328,12 @@
   std::unordered_map<std::string, int> images_;
   std::vector<Team> teams_;
   std::unordered_map<std::string, std::unique_ptr<JobState>> jobs_;
+  dependencies::Graph graph_;
+  // Awaited, and their outcomes are to be found out; true: it ended while this leader knew it as unfinished, so that its
+  // dependents' waits begin now.
+  std::map<std::string, bool> unresolved_;
+  std::set<std::string> asked_finals_;  // of those, whose final states the store is being asked for
+  Ms resolve_at_ = 0;
   std::map<std::string, std::unique_ptr<Machine>> machines_;
   std::vector<Machine*> fleet_;  // the same, for walking through
   std::unordered_set<std::string> tombstones_;
--- a/src/core/leader_parts.hpp
+++ b/src/core/leader_parts.hpp
@@ -33,6 +33,12 @@
   return std::max(settings::kSilentLeastMs, static_cast<Ms>(static_cast<double>(report_ms(p)) * settings::kSilentReports) + settings::kSilentSpareMs);
 }
 
+// Tasks on one machine past which nothing more is placed there.
+inline std::size_t machine_tasks_most(const settings::Platform& p) {
+  const auto room = static_cast<std::size_t>(static_cast<double>(p.store.value_bytes()) * settings::kRosterChunkShare);
+  return std::min(settings::kMachineTasksMost, room / settings::kRosterTaskBytes);
+}
+
 inline Ms hold_ms(const settings::Platform& p) {
   return std::clamp(static_cast<Ms>(static_cast<double>(report_ms(p)) * settings::kHoldShare), settings::kHoldLeastMs, settings::kHoldMostMs);
 }
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -132,7 +132,7 @@
     // The fetch is paid like the run, and what goes first is late by it.
     if (r.far) {
       const double fetch = job.spec.image_gb / std::max(types_[static_cast<std::size_t>(m->type)].fetch_gb_per_s, 1e-3);
-      r.price *= 1 + fetch / run * (job.spec.priority > wire::Priority::normal ? kFarUrgent : 1);
+      r.price *= 1 + fetch / run * (job.priority > wire::Priority::normal ? kFarUrgent : 1);
     }
     if (policy_.choose == portfolio::Choose::first_fit) {
       r.policy = m->room.share_of(m->whole);
@@ -158,7 +158,7 @@
     auto& m = *open[merits.back().at];
     merits.pop_back();
     // Zones may have closed to the job with its own last task.
-    while (tries > 0 && size.fits(m.room) && in_limit(job) && allowed_on(job, m) && m.tasks.size() < kMachineTasksMost) {
+    while (tries > 0 && size.fits(m.room) && in_limit(job) && allowed_on(job, m) && m.tasks.size() < machine_tasks_most(platform_)) {
       const auto task = job.next_waiting();
       if (task < 0) return;
       // Another attempt of it may still be launched here, for as long as the session lasts.
@@ -256,11 +256,11 @@
 }
 
 // Its deadline can't be met any more, however many of its tasks its team's limit lets run at once.
-bool Leader::late(const JobState& job, double wait_s) const {
+bool Leader::late(const JobState& job, double since_submission_s) const {
   if (!job.spec.deadline_s) return false;
   const auto& team = teams_[static_cast<std::size_t>(job.team)];
   const double rounds = std::max(1.0, std::ceil(job.waiting * job.spec.cpus / std::max(team.cpus_max, job.spec.cpus)));
-  return wait_s + rounds * run_time(job) > *job.spec.deadline_s;
+  return since_submission_s + rounds * run_time(job) > *job.spec.deadline_s;
 }
 
 // Placement once for a batch of changes: what it costs decides how soon the next may follow. Reports
@@ -311,7 +311,7 @@
   for (auto& [id, job] : jobs_) {
     if (!job->active() || job->waiting == 0 || job->team < 0 || now < job->not_before) continue;
     const double wait = static_cast<double>(now - job->seen) / 1000;
-    order.push_back({is_guest(*job), late(*job, wait), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
+    order.push_back({is_guest(*job), late(*job, static_cast<double>(now - job->submitted) / 1000), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
     waiting.push_back({order.size() - 1, wait, has_begun(*job), job->owed});
   }
   for (const auto& g : aging::turns(waiting, fleet_.size(), {kAgedS, kDueS, kAsideShare})) {
@@ -326,7 +326,7 @@
     if (a.job->owed != b.job->owed) return a.job->owed;
     const bool a_due = a.turn == aging::Turn::due, b_due = b.turn == aging::Turn::due;
     if (a_due != b_due) return a_due;
-    if (a.job->spec.priority != b.job->spec.priority) return a.job->spec.priority > b.job->spec.priority;
+    if (a.job->priority != b.job->priority) return a.job->priority > b.job->priority;
     if (a.turn != b.turn) return a.turn > b.turn;
     if (a.turn != aging::Turn::usual && a.job->seen != b.job->seen) return a.job->seen < b.job->seen;
     if (a.guest != b.guest) return b.guest;
--- a/src/core/leader_preemption.cpp
+++ b/src/core/leader_preemption.cpp
@@ -18,12 +18,12 @@
   std::vector<JobState*> wanting;
   for (auto& [id, job] : jobs_)
     if (job->active() && job->waiting > 0 && job->team >= 0 && !held_back(*job) && now >= job->not_before && !blame_.suspect(job->index) &&
-        (job->owed || entitled(*job) || job->spec.priority > wire::Priority::low))
+        (job->owed || entitled(*job) || job->priority > wire::Priority::low))
       wanting.push_back(job.get());
   if (wanting.empty()) return;
   std::sort(wanting.begin(), wanting.end(), [&](const JobState* a, const JobState* b) {
     if (a->owed != b->owed) return a->owed;
-    if (a->spec.priority != b->spec.priority) return a->spec.priority > b->spec.priority;
+    if (a->priority != b->priority) return a->priority > b->priority;
     return a->seen < b->seen;
   });
   // Only machines with a task that might be stopped, or with room left, come into question.
@@ -54,7 +54,7 @@
       ++work_;
       // Room that is set aside for a job is not another's, or what looked for victims took it at no loss at all.
       if ((m->reserved_for != 0 && m->reserved_for != job->index) || m->unsettled.of_task({job->index, static_cast<std::uint32_t>(std::max<std::int64_t>(0, job->next_waiting()))})) return std::nullopt;
-      if (!size.fits(m->whole) || !allowed_on(*job, *m) || m->tasks.size() >= kMachineTasksMost) return std::nullopt;
+      if (!size.fits(m->whole) || !allowed_on(*job, *m) || m->tasks.size() >= machine_tasks_most(platform_)) return std::nullopt;
       Offer o;
       o.at = at;
       Size room = m->room;
@@ -133,7 +133,7 @@
   // A guest's priority does not reach into what another team is guaranteed: that team would stop the guest's task for it at
   // once, and the two took the room from each other every few seconds until the day was over.
   const bool guaranteed = is_guest(job) && !is_guest(*p.job) && team.used_cpus <= team.cpus + 1e-9;
-  const bool lower = p.job->spec.priority < job.spec.priority && (job.owed || (!p.job->owed && !guaranteed));
+  const bool lower = p.job->priority < job.priority && (job.owed || (!p.job->owed && !guaranteed));
   // For a whole job within its team's guarantee whoever borrows gives way; for the part of a larger job only
   // guests do: among teams with guarantees it was measured to cost more, in saving and moving, than it gave.
   const bool borrowed = (job.owed || (entitled(job) && is_guest(*p.job))) && !p.job->owed && p.job->team != job.team &&
--- a/src/core/leader_selection.cpp
+++ b/src/core/leader_selection.cpp
@@ -43,7 +43,7 @@
     j.run_s = job->spec.form == wire::Form::service ? kReplayHorizonS : run_time(*job);
     j.size = size_of(job->spec);
     j.team = job->team;
-    j.priority = static_cast<int>(job->spec.priority);
+    j.priority = static_cast<int>(job->priority);
     j.image = job->image;
     j.image_gb = job->spec.image_gb;
     j.spot = job->spec.spot;
--- a/src/core/leader_store.cpp
+++ b/src/core/leader_store.cpp
@@ -26,14 +26,14 @@
   // waited, and launches behind them for half a minute.
   const bool progress = now >= job.progress_at && (now - job.progress_at >= kProgressMostMs || (store_.backlog_s() <= kProgressBacklogS && progress_.can(now, 1)));
   for (std::size_t c = 0; c < job.chunks() && progress; ++c)
-    if (job.chunk_dirty[c] && static_cast<int>(chunks.size()) < platform_.state_txn_ops - 1) chunks.push_back(c);
+    if (job.chunk_dirty[c] && static_cast<int>(chunks.size()) < platform_.store.transaction_changes - 1) chunks.push_back(c);
   const bool mark = job.mark_wanted > job.mark;
   if (chunks.empty() && !mark) return;
   wire::Txn txn;
   txn.if_version("leader", leader_version_).if_version(live_key(job.spec.id), job.version);
   const auto marked = job.mark_wanted;
   if (mark)
-    txn.put(live_key(job.spec.id), wire::encode(wire::LiveRecord{job.spec, job.accepted_ms, false, marked}));
+    txn.put(live_key(job.spec.id), wire::encode_within({job.spec, job.accepted_ms, false, marked}, platform_.store.value_bytes(), type_names()));
   const auto form = levels_.progress_form();
   std::vector<std::uint32_t> written;
   for (auto c : chunks) {
@@ -61,7 +61,7 @@
       // Either way nothing more is written before the records have been read again.
       j->resync = true;
       for (auto c : chunks) j->chunk_dirty[c] = true;
-      if (status != 409) j->write_after = t + kStoreRetryMs;
+      if (status != 409) j->write_after = t + (status == 400 ? kTooLargeRetryMs : kStoreRetryMs);
       return persist(t, *j);
     }
     if (mark) {
@@ -89,22 +89,28 @@
 void Leader::finish(Ms now, JobState& job) {
   wire::Txn txn;
   const auto& id = job.spec.id;
+  const bool awaited = graph_.is_awaited(id);
   txn.if_version("leader", leader_version_).if_version(live_key(id), job.version);
   txn.put(over_key(id), wire::encode(wire::OverRecord{job.withdrawn, job.done})).drop(live_key(id));
-  for (std::size_t c = 0; c < job.chunks() && txn.writes() < platform_.state_txn_ops; ++c)
+  for (std::size_t c = 0; c < job.chunks() && txn.writes() < platform_.store.transaction_changes; ++c)
     if (job.chunk_version[c] != 0) txn.drop(job.chunk_key(c));
   job.writing = true;
-  store_.commit(now, job.team >= 0 && is_guest(job) ? Rank::late : Rank::leader, txn,
+  // What awaits it can't start before this is stored.
+  const auto rank = awaited ? Rank::first : job.team >= 0 && is_guest(job) ? Rank::late : Rank::leader;
+  store_.commit(now, rank, txn,
                 mine([this, id, index = job.index, withdrawn = job.withdrawn](Ms t, int status, std::string_view) {
     auto* j = find(id);
     if (j == nullptr || j->index != index) return;
     j->writing = false;
     if (status == 200) {
       log(withdrawn ? Event::job_gone : Event::job_done, id);
-      return remove_job(t, id);
+      remove_job(t, id);
+      unresolved_.erase(id);
+      settle_awaited(t, id, withdrawn ? dependencies::Outcome::cancelled : dependencies::Outcome::done, true);
+      return schedule(t);
     }
     j->resync = true;
-    if (status != 409) j->write_after = t + kStoreRetryMs;
+    if (status != 409) j->write_after = t + (status == 400 ? kTooLargeRetryMs : kStoreRetryMs);
     persist(t, *j);
   }));
 }
@@ -117,20 +123,23 @@
   std::size_t left = 0;
   if (levels_.level().low != levels_.level().high) {
     const auto form = levels_.progress_form();
-    auto most = std::max<std::size_t>(1, static_cast<std::size_t>(platform_.state_write_rps * kMigrateShare));
+    auto most = std::max<std::size_t>(1, static_cast<std::size_t>(platform_.store.writes_per_s * kMigrateShare));
     std::vector<JobState*> again;
     for (auto& [id, job] : jobs_) {
       const auto n = job->of_other_form(form);
       left += n;
       if (n == 0 || most == 0 || job->writing) continue;
       for (std::size_t c = 0; c < job->chunks() && most > 0; ++c)
-        if (job->chunk_version[c] != 0 && job->chunk_form[c] != form && !job->chunk_dirty[c]) {
+        if (job->chunk_version[c] != 0 && !wire::is_of_form(job->chunk_form[c], form) && !job->chunk_dirty[c]) {
           job->chunk_dirty[c] = true;
           --most;
         }
       again.push_back(job.get());
     }
     for (auto* job : again) persist(now, *job);
+    // Below the level that brings them an earlier version would forget what they await.
+    if (levels_.level().active < kAwaitsLevel)
+      left += static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto& j) { return !j.second->spec.awaits.empty(); }));
     if (other_forms) left += other_forms();
   }
   levels_.advance(now, term_, leader_version_, left);
--- a/src/core/levels.cpp
+++ b/src/core/levels.cpp
@@ -282,7 +282,7 @@
   const auto target = step.next->active;
   // Members are who the settings name; where they don't name everybody, somebody may be passed by. One condition for
   // each member, one for oneself, the leader and the level.
-  if (static_cast<int>(platform_.peers.size()) + 1 != platform_.nodes || platform_.nodes + 2 > 4 * platform_.state_txn_ops)
+  if (static_cast<int>(platform_.peers.size()) + 1 != platform_.nodes || platform_.nodes + 2 > 4 * platform_.store.transaction_changes)
     return hold(now, target, {Hold::settings, ""});
   const auto held = rollout::held_by(now, *step.next, members_, false);
   hold(now, target, held);
--- a/src/core/live_view.cpp
+++ b/src/core/live_view.cpp
@@ -73,10 +73,16 @@
   }
   // A record that can't be read is a job all the same, and must not be called unknown.
   const auto record = wire::decode_live(value);
-  jobs_[id] = {record && record->withdrawn, record && record->mark > 0, record && record->mark > kMarkAtOnce, version};
+  jobs_[id] = {record && record->withdrawn, record && record->mark > 0, record && record->mark > kMarkAtOnce, version,
+               record ? record->job.awaits : std::vector<std::string>{}};
   if (on_record && record) on_record(id, value, *record, version);
 }
 
+const LiveView::Job* LiveView::find(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
 void LiveView::forget() {
   ++epoch_;
   loaded_ = false;
--- a/src/core/live_view.hpp
+++ b/src/core/live_view.hpp
@@ -19,7 +19,10 @@
     bool withdrawn = false, marked = false;  // marked: tasks of it may have been launched
     bool launched = false;                   // and some surely were, or were about to be
     std::uint64_t version = 0;
+    std::vector<std::string> awaits;
   };
+  // As of the last read; null: no unfinished job that has been read has the id.
+  const Job* find(const std::string& id) const;
   // `known` is false where the store could not be asked. `job` is null where no unfinished job has the id.
   using Answer = std::function<void(Ms now, bool known, const Job* job)>;
 
--- a/src/core/rebuilder.cpp
+++ b/src/core/rebuilder.cpp
@@ -204,9 +204,9 @@
   std::vector<Put> puts;
   while (jobs < jobs_.size() && bytes < kRebuildBatch) {
     const auto& job = jobs_[jobs];
-    if (!puts.empty() && puts.size() + job.size() > static_cast<std::size_t>(platform_.state_txn_ops)) break;
+    if (!puts.empty() && puts.size() + job.size() > static_cast<std::size_t>(platform_.store.transaction_changes)) break;
     for (const auto& p : job) {
-      if (puts.size() >= static_cast<std::size_t>(platform_.state_txn_ops)) break;  // a job of many chunks: the rest follows
+      if (puts.size() >= static_cast<std::size_t>(platform_.store.transaction_changes)) break;  // a job of many chunks: the rest follows
       // A controller that knows of no loss may have written there meanwhile.
       const auto it = stored_.find(p.key);
       txn.if_version(p.key, it == stored_.end() ? 0 : it->second.version);
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -14,6 +14,8 @@
 namespace {
 constexpr const char* kAskPrefix = "relay/";
 constexpr const char* kReplyPrefix = "reply/";
+
+std::size_t value_most(const Platform& platform) { return std::min(kRelayValueMost, platform.store.value_bytes() - kRelayValueFrame); }
 }  // namespace
 
 Relay::Relay(Outbox& out, StoreClient& store, Leadership& leadership, const Platform& platform,
@@ -138,7 +140,7 @@
   unsent_.clear();
   if (reports.empty()) return;
   // Values are bounded; what does not fit goes with the next batch.
-  const auto text = wire::encode_reports(reports, kRelayValueMost);
+  const auto text = wire::encode_reports(reports, value_most(platform_));
   for (const auto& [id, report] : reports) unsent_.push_back(id);
   sent.resize(sent.size() - reports.size());  // what does not fit is at the end
   batch_open_ = true;
@@ -287,7 +289,7 @@
   // More than one value where many launches go out at once; each takes the place of the one before, and
   // the watch shows both.
   while (!batch.answers.empty()) {
-    const auto text = wire::encode_answers(batch.answers, kRelayValueMost);
+    const auto text = wire::encode_answers(batch.answers, value_most(platform_));
     wire::Txn txn;
     txn.if_version("leader", leadership_.key_version())
         .put(kReplyPrefix + node, json{{"seq", batch.seq}, {"items", text}}.dump());
--- a/src/core/store_client.cpp
+++ b/src/core/store_client.cpp
@@ -19,6 +19,7 @@
   return n;
 }
 constexpr std::string_view kLevelFailed = "\"level\"";  // in the answer's list of failed conditions
+constexpr std::size_t kAnswerShown = 100;  // bytes of an answer that the log shows
 constexpr int kTries = 6;          // answers of 429 before the caller is told
 constexpr Ms kCrowdedPauseMs = 150;  // a bucket of one second refills by a seventh meanwhile
 }  // namespace
@@ -234,6 +235,8 @@
       enqueue(now, rank, std::move(w));
       return;
     }
+    if (status == 400 && w.writes > 0 && body.find("no such lease") == std::string_view::npos && !std::exchange(told_too_large_, true))
+      out_.log(Event::store_too_large, w.call.body.size(), w.writes, std::string(body.substr(0, kAnswerShown)));
     // Before its sender is told, so that what it does next is formed with that under way.
     if (status == 409 && level_ && body.find(kLevelFailed) != std::string_view::npos && on_other_level) {
       out_.figures().add(telemetry::Count::level_refused);
@@ -252,6 +255,7 @@
                       : status == 429 ? CallResult::crowded
                       : status == 503 ? CallResult::refused
                       : status == 0   ? CallResult::unanswered
+                      : status == 400 && w.writes > 0 ? CallResult::too_large
                                       : CallResult::other;
   out_.figures().add(telemetry::Count::store_calls, result);
   if (status != 0) {
--- a/src/core/store_client.hpp
+++ b/src/core/store_client.hpp
@@ -128,6 +128,7 @@
   std::array<Queue, 6> queues_;
   Ms failing_since_ = 0;  // 0: the last answer was one
   bool down_ = false;     // and that was told
+  bool told_too_large_ = false;
   std::optional<std::uint64_t> level_;
   bool stopped_ = false;
   std::uint64_t seen_ = 0, epoch_ = 0;
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -25,7 +25,7 @@
 };
 const std::vector<Feature>& features();
 
-inline constexpr std::uint32_t kNewest = 4;  // the highest level that this program knows
+inline constexpr std::uint32_t kNewest = 5;  // the highest level that this program knows
 
 // What this process can read and write. `announces` is false for versions from before levels, which say nothing and
 // heed none.
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -43,6 +43,8 @@
 inline constexpr std::uint32_t kLineageLevel = 3;
 // The level from which machine types stand under another key, so that versions from before levels are never healthy.
 inline constexpr std::uint32_t kTypesLevel = 4;
+// The level from which jobs may await others: an earlier version would drop the names when it writes the record again.
+inline constexpr std::uint32_t kAwaitsLevel = 5;
 // ms between two looks whether the state has been rebuilt.
 inline constexpr std::int64_t kLossLookMs = 500;
 // ms for which the rebuild waits for the other controllers' copies: ten signs of life.
@@ -77,6 +79,8 @@
 inline constexpr std::size_t kPollsMost = 1000;
 // ms. Pause before a failed watch or list is tried again.
 inline constexpr std::int64_t kStoreRetryMs = 300;
+// ms. Pause before something is formed anew that was refused as too large.
+inline constexpr std::int64_t kTooLargeRetryMs = 5000;
 // Share of the store's published rates that the nodes together allow themselves; the rest absorbs
 // the difference between our buckets and the store's.
 inline constexpr double kStoreShare = 0.9;
@@ -117,8 +121,9 @@
 inline constexpr std::size_t kRosterBatchMost = 50'000;
 // ms within which a machine that was rented or returned, or a task that is gone, is in the stored roster: a hint only.
 inline constexpr std::int64_t kRosterSoonMs = 2000;
-// Tasks on one machine past which nothing more is placed there: what a chunk with this machine alone can hold.
-inline constexpr std::size_t kMachineTasksMost = 1000;
+// Tasks on one machine past which nothing more is placed there, and bytes that each may take of a value, were each of
+// another job: a chunk with this machine alone has to fit.
+inline constexpr std::size_t kMachineTasksMost = 1000, kRosterTaskBytes = 24;
 
 // --- users --------------------------------------------------------------------------------------
 // s. What a refused user is told to wait.
@@ -200,8 +205,8 @@
 inline constexpr std::int64_t kRelayMs = 30000;
 // ms. A relayed report not answered by then is refused; the worker waits 4 s.
 inline constexpr std::int64_t kRelayTimeoutMs = 3000;
-// bytes of reports in one value, below the smallest value limit.
-inline constexpr std::size_t kRelayValueMost = 6000;
+// bytes of reports in one value, and what the value has beside them: its batch's number and the fields' names.
+inline constexpr std::size_t kRelayValueMost = 6000, kRelayValueFrame = 100;
 // Machines remembered by a relay before it looks for old entries, and reports kept while nobody leads: these at the least, and
 // as many as the settings allow connections, for a larger fleet.
 inline constexpr std::size_t kRelayMachines = 500;
--- a/src/settings/platform.cpp
+++ b/src/settings/platform.cpp
@@ -120,6 +120,39 @@
   bool muted_ = false;
 };
 
+constexpr double kLeastRate = 1;       // requests or writes a second
+constexpr double kLeastValueKb = 1;    // below it a job's description does not fit
+constexpr int kLeastChanges = 4;       // of one transaction: the most that a takeover or a switch of levels needs
+constexpr int kMostChanges = 1'000'000;
+
+// Today's limits, lowered to those under `next`, each of which may be missing there. None may be above today's.
+StoreLimits read_store_limits(Reader& state) {
+  StoreLimits limits;
+  limits.requests_per_s = state.number("rps", kLeastRate);
+  limits.writes_per_s = state.number("write_rps", kLeastRate);
+  limits.value_kb = state.number("value_kb", kLeastValueKb);
+  limits.transaction_changes = state.count("txn_ops", kLeastChanges, kMostChanges);
+  if (!state.has("next")) return limits;
+  Reader next = state.object("next");
+  const auto lower = [&next](const char* field, double& limit, double least) {
+    if (!next.has(field)) return;
+    const double later = next.number(field, least);
+    if (later > limit) return next.bad(field, "is above today's limit");
+    limit = later;
+  };
+  lower("rps", limits.requests_per_s, kLeastRate);
+  lower("write_rps", limits.writes_per_s, kLeastRate);
+  lower("value_kb", limits.value_kb, kLeastValueKb);
+  if (next.has("txn_ops")) {
+    const int later = next.count("txn_ops", kLeastChanges, kMostChanges);
+    if (later > limits.transaction_changes)
+      next.bad("txn_ops", "is above today's limit");
+    else
+      limits.transaction_changes = later;
+  }
+  return limits;
+}
+
 }  // namespace
 
 Loaded parse_platform(std::string_view text) {
@@ -181,10 +214,7 @@
   p.lease_s = w.number("lease_s", 1);
   p.cancel_s = w.number("cancel_s", 1);
   auto s = params.object("state");
-  p.state_rps = s.number("rps", 1);
-  p.state_write_rps = s.number("write_rps", 1);
-  p.state_value_kb = s.number("value_kb", 1);
-  p.state_txn_ops = s.count("txn_ops", 4, 1'000'000);
+  p.store = read_store_limits(s);
   auto c = params.object("cloud");
   p.cloud_rps = c.number("rps", 0.01);
   p.cloud_list_lag_s = c.number("list_lag_s", 0);
--- a/src/settings/platform.hpp
+++ b/src/settings/platform.hpp
@@ -26,6 +26,15 @@
   std::string node, zone, addr;
 };
 
+// What the state service allows.
+struct StoreLimits {
+  double requests_per_s = 0;
+  double writes_per_s = 0;  // puts and deletes
+  double value_kb = 0;
+  int transaction_changes = 0;  // puts and deletes in one transaction
+  std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024); }
+};
+
 struct Platform {
   std::string node, zone, client_listen, peer_listen;
   std::vector<Peer> peers;
@@ -35,8 +44,9 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   double report_s = 0, lease_s = 0, cancel_s = 0;
-  double state_rps = 0, state_write_rps = 0, state_value_kb = 0;
-  int state_txn_ops = 0;
+  // In force for everything that this program writes: of today's limits and those announced for later (`state.next`),
+  // which come without notice, the smaller ones.
+  StoreLimits store;
   double cloud_rps = 0, cloud_list_lag_s = 0;
   double cores = 0, memory_mb = 0;
   int max_connections = 0;
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -32,7 +32,7 @@
       {"hitchfront_refusals_total", "Requests of users that were refused", "reason",
        {"busy", "store", "types", "malformed", "never_runs", "try_again", "unknown", "level", "promised"}},
       {"hitchfront_store_calls_total", "Calls of the state service", "result",
-       {"ok", "conflict", "missing", "crowded", "refused", "unanswered", "other"}},
+       {"ok", "conflict", "missing", "crowded", "refused", "unanswered", "other", "too_large"}},
       {"hitchfront_store_writes_total", "Puts and deletes asked of the state service: what users submit and cancel, launch marks, progress, final states, the roster, relayed reports, and what leadership and levels take",
        "what", {"user", "mark", "progress", "final", "roster", "relay", "lead"}},
       {"hitchfront_launches_total", "Launch commands sent"},
@@ -73,6 +73,7 @@
       {"hitchfront_members_up", "Other controllers heard within the last signs of life"},
       {"hitchfront_state_lost", "1 while the stored state is known to have lost something and is not rebuilt"},
       {"hitchfront_copy_bytes", "This process's copy of the stored state, about"},
+      {"hitchfront_jobs_waiting", "Unfinished jobs that wait for other jobs, by the leader's books"},
   }};
   return table;
 }
--- a/src/telemetry/figures.hpp
+++ b/src/telemetry/figures.hpp
@@ -40,8 +40,8 @@
 };
 inline constexpr std::size_t kCounts = static_cast<std::size_t>(Count::log_lines) + 1;
 
-enum class Gauge : std::uint8_t { leading, term, jobs, tasks, machines, doubt, held, level, level_held, level_left, members_up, state_lost, copy_bytes };
-inline constexpr std::size_t kGauges = static_cast<std::size_t>(Gauge::copy_bytes) + 1;
+enum class Gauge : std::uint8_t { leading, term, jobs, tasks, machines, doubt, held, level, level_held, level_left, members_up, state_lost, copy_bytes, jobs_waiting };
+inline constexpr std::size_t kGauges = static_cast<std::size_t>(Gauge::jobs_waiting) + 1;
 
 enum class Spread : std::uint8_t { start_s, store_s, doubt_s, confirm_s, roster_s, replayed };
 inline constexpr std::size_t kSpreads = static_cast<std::size_t>(Spread::replayed) + 1;
@@ -49,7 +49,7 @@
 // Labels, as places in the table's lists.
 enum class Way : std::uint8_t { direct, peer, store };
 enum class Refusal : std::uint8_t { busy, store, types, malformed, never, again, unknown, level, promised };
-enum class CallResult : std::uint8_t { ok, conflict, missing, crowded, refused, unanswered, other };
+enum class CallResult : std::uint8_t { ok, conflict, missing, crowded, refused, unanswered, other, too_large };
 enum class Write : std::uint8_t { user, mark, progress, final, roster, relay, lead };
 enum class Stop : std::uint8_t { preempted, emptied, notice, withdrawn };
 enum class Back : std::uint8_t { idle, lost, emptied, taken, failed, faulty, deaf, stuck };
--- a/src/wire/job.cpp
+++ b/src/wire/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace hitchfront::wire {
 using nlohmann::json;
@@ -50,6 +51,20 @@
   return it != o.end() && !it->is_null();
 }
 
+std::vector<std::string> read_awaits(const json& names, const std::string& own_id) {
+  if (!names.is_array()) refuse("Awaits", "must be a list or null");
+  std::vector<std::string> awaits;
+  std::set<std::string> seen;
+  for (const auto& name : names) {
+    if (!name.is_string() || !valid_job_id(name.get_ref<const std::string&>())) refuse("Awaits", "must hold ids like run-000412");
+    auto id = name.get<std::string>();
+    if (id == own_id) refuse("Awaits", "names the job itself");
+    if (!seen.insert(id).second) refuse("Awaits", "names a job twice");
+    awaits.push_back(std::move(id));
+  }
+  return awaits;
+}
+
 Job read_job(const json& o) {
   Job job;
   job.id = text(o, "Ref");
@@ -103,6 +118,7 @@
   job.checkpoint_s = amount(o, "MarkS");
   job.save_s = amount(o, "StowS");
   if (present(o, "DueS")) job.deadline_s = amount(o, "DueS");
+  if (present(o, "Awaits")) job.awaits = read_awaits(o["Awaits"], job.id);
   return job;
 }
 
@@ -156,6 +172,7 @@
   if (j.types) o["Rigs"] = *j.types;
   if (j.zone) o["Hall"] = *j.zone;
   if (j.deadline_s) o["DueS"] = *j.deadline_s;
+  if (!j.awaits.empty()) o["Awaits"] = j.awaits;
   return o;
 }
 
@@ -164,6 +181,16 @@
       .dump();
 }
 
+std::string encode_within(const LiveRecord& r, std::size_t most, const std::vector<std::string>& known_types) {
+  auto text = encode(r);
+  if (text.size() <= most || !r.job.types) return text;
+  auto shorter = r;
+  std::erase_if(*shorter.job.types, [&](const std::string& type) {
+    return r.withdrawn || std::find(known_types.begin(), known_types.end(), type) == known_types.end();
+  });
+  return encode(shorter);
+}
+
 std::optional<LiveRecord> decode_live(const json& v) {
   try {
     LiveRecord r;
--- a/src/wire/job.hpp
+++ b/src/wire/job.hpp
@@ -26,6 +26,7 @@
   bool one_zone = false, spread = false, spot = false;
   double image_gb = 0, estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  std::vector<std::string> awaits;  // jobs that have to be done before any task of this one starts
 };
 
 // Where a body was refused: the field and what was wrong with it.
@@ -52,6 +53,11 @@
   std::uint32_t mark = 0;  // tasks below it may have been launched
 };
 std::string encode(const LiveRecord& record);
+// At most so many bytes where that can be had: a record that an earlier version accepted under a larger limit loses the
+// names of machine types that nobody knows, or all of them once the job is cancelled and needs none.
+std::string encode_within(const LiveRecord& record, std::size_t most, const std::vector<std::string>& known_types);
+// Bytes by which a record may grow after its acceptance: its mark gets more digits.
+inline constexpr std::size_t kRecordGrowth = 8;
 std::optional<LiveRecord> decode_live(const nlohmann::json& value);
 
 // The store's record under over/<job>.
--- a/src/wire/progress.cpp
+++ b/src/wire/progress.cpp
@@ -8,7 +8,8 @@
 namespace hitchfront::wire {
 namespace {
 constexpr std::string_view kDigits = "0123456789abcdef";
-constexpr char kRunsMark = '=';  // no hexadecimal digit
+constexpr char kRunsMark = '=', kBitsMark = '#';  // no hexadecimal digits
+constexpr std::size_t kByteBits = 8;
 
 std::string bitmap(const std::vector<bool>& done) {
   std::string hex;
@@ -35,6 +36,27 @@
   return kRunsMark + to_base64(out);
 }
 
+std::string bits(const std::vector<bool>& done) {
+  std::string bytes;
+  for (std::size_t t = 0; t < done.size(); ++t) {
+    if (t % kByteBits == 0) bytes.push_back('\0');
+    if (done[t]) bytes.back() = static_cast<char>(static_cast<unsigned char>(bytes.back()) | 1U << t % kByteBits);
+  }
+  return kBitsMark + to_base64(bytes);
+}
+
+std::optional<Progress> read_bits(std::string_view text, std::uint32_t tasks) {
+  const auto bytes = from_base64(text);
+  if (!bytes) return std::nullopt;
+  Progress p{ProgressForm::shortest, {}};
+  for (std::size_t t = 0; t < bytes->size() * kByteBits; ++t) {
+    if ((static_cast<unsigned char>((*bytes)[t / kByteBits]) >> t % kByteBits & 1U) == 0) continue;
+    if (t >= tasks) return std::nullopt;
+    p.done.push_back(static_cast<std::uint32_t>(t));
+  }
+  return p;
+}
+
 std::optional<Progress> read_runs(std::string_view text, std::uint32_t tasks) {
   const auto bytes = from_base64(text);
   if (!bytes) return std::nullopt;
@@ -53,11 +75,16 @@
 }  // namespace
 
 std::string encode_progress(const std::vector<bool>& done, ProgressForm form) {
-  return form == ProgressForm::runs ? runs(done) : bitmap(done);
+  if (form == ProgressForm::bitmap) return bitmap(done);
+  auto text = runs(done);
+  if (form == ProgressForm::runs) return text;
+  auto other = bits(done);
+  return other.size() < text.size() ? other : text;
 }
 
 std::optional<Progress> decode_progress(std::string_view text, std::uint32_t tasks) {
   if (text.starts_with(kRunsMark)) return read_runs(text.substr(1), tasks);
+  if (text.starts_with(kBitsMark)) return read_bits(text.substr(1), tasks);
   Progress p;
   for (std::size_t i = 0; i < text.size(); ++i) {
     const auto nibble = kDigits.find(text[i]);
--- a/standins/store.hpp
+++ b/standins/store.hpp
@@ -33,6 +33,8 @@
   void each(const std::string& prefix, const std::function<void(const std::string& key, const nlohmann::json& value)>& visit) const;
   std::size_t written(const std::string& prefix) const;  // puts and deletes so far of keys with this first part
   int txn_ops = 12;
+  std::size_t value_bytes = 32 * 1024;
+  std::size_t too_large = 0;  // transactions refused for one of these two limits
   // Losses. A copy of any moment can be kept and put back, with its revision, its change log and its leases, which then
   // have their full time; or everything goes.
   struct Kept;
--- a/tests/rebuild_test.cpp
+++ b/tests/rebuild_test.cpp
@@ -281,6 +281,7 @@
         Scenario s;
         s.seed = seed;
         s.nodes = 5;
+        s.jobs_per_s = 0.6;  // something is stored in the four seconds that are lost, whatever the day
         s.events = events;
         s.no_users = {0};
         const bool crash = events.back().what == "crash all";
