--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -9,7 +9,8 @@
 namespace hitchfront::net {
 
 struct Client::Running {
-  Client* client;
+  Client* client;  // none once it is gone
+  event_base* base;
   evhttp_connection* connection;
   std::uint64_t id;
 };
@@ -23,10 +24,11 @@
 
 Client::~Client() {
   for (auto* c : free_) evhttp_connection_free(c);
+  for (auto* r : running_) r->client = nullptr;
 }
 
 void Client::call(core::HttpCall c) {
-  if (most_ > 0 && !c.watch && !c.urgent && busy_ >= most_) {
+  if (most_ > 0 && !c.watch && !c.urgent && busy() >= most_) {
     waiting_.push_back(std::move(c));
     return;
   }
@@ -42,8 +44,8 @@
     connection = evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_);
     if (priority_ != settings::kOrdinaryPriority) bufferevent_priority_set(evhttp_connection_get_bufferevent(connection), priority_);
   }
-  ++busy_;
-  auto* running = new Running{this, connection, c.id};
+  auto* running = new Running{this, base_, connection, c.id};
+  running_.insert(running);
   auto* request = evhttp_request_new(&Client::finished, running);
   timeval limit{static_cast<time_t>(c.timeout_ms / 1000), static_cast<suseconds_t>(c.timeout_ms % 1000 * 1000)};
   evhttp_connection_set_timeout_tv(connection, &limit);
@@ -58,8 +60,8 @@
                                                      : EVHTTP_REQ_DELETE;
   // On failure evhttp has freed the request and may or may not have called back; it does not here.
   if (evhttp_make_request(connection, request, type, c.path.c_str()) != 0) {
+    running_.erase(running);
     delete running;
-    --busy_;
     event_base_once(base_, -1, EV_TIMEOUT, &Client::discard, connection, nullptr);
     on_response_(c.id, 0, {});
   }
@@ -74,8 +76,13 @@
   auto* self = running->client;
   auto* connection = running->connection;
   const auto id = running->id;
+  if (self == nullptr) {
+    event_base_once(running->base, -1, EV_TIMEOUT, &Client::discard, connection, nullptr);
+    delete running;
+    return;
+  }
+  self->running_.erase(running);
   delete running;
-  --self->busy_;
   int status = 0;
   std::string body;
   if (request != nullptr) status = evhttp_request_get_response_code(request);
@@ -90,7 +97,7 @@
     // Not from within its own callback.
     event_base_once(self->base_, -1, EV_TIMEOUT, &Client::discard, connection, nullptr);
   }
-  if (!self->waiting_.empty() && self->busy_ < self->most_) {
+  if (!self->waiting_.empty() && self->busy() < self->most_) {
     auto next = std::move(self->waiting_.front());
     self->waiting_.pop_front();
     self->start(std::move(next));
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "core/effects.hpp"
@@ -24,7 +25,7 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
   void call(core::HttpCall call);
-  bool idle() const { return busy_ == 0 && waiting_.empty(); }
+  bool idle() const { return running_.empty() && waiting_.empty(); }
 
  private:
   struct Running;
@@ -39,7 +40,8 @@
   OnResponse on_response_;
   std::vector<evhttp_connection*> free_;
   std::deque<core::HttpCall> waiting_;
-  int busy_ = 0;
+  std::unordered_set<Running*> running_;  // requests without an answer
+  int busy() const { return static_cast<int>(running_.size()); }
 };
 
 }  // namespace hitchfront::net
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -27,7 +27,8 @@
   }
   auto* base = event_base_new();
   hitchfront::standins::Host host(base, state, cloud, by_name,
-                                  {{"small", 4, 0, 16, 50, 1, 0.2, 0.06, 1, {"east"}}}, run_s);
+                                  {{"small", 4, 0, 16, 50, 1, 0.2, 0.06, 1, {"east"}}},
+                                  [run_s](const std::string&, std::uint32_t) { return run_s; });
   std::printf("state %s, cloud %s\n", state.c_str(), cloud.c_str());
   return event_base_dispatch(base) == 0 ? 0 : 1;
 }
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -124,6 +124,7 @@
   if (!changes.empty()) ++revision_;
   for (const auto& c : changes) {
     const auto& name = (c.contains("Set") ? c["Set"] : c.at("Drop")).get_ref<const std::string&>();
+    ++changes_;
     ++written_[name.substr(0, name.find('/') + 1)];
     if (c.contains("Set")) {
       const auto key = c["Set"].get<std::string>();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -77,6 +77,7 @@
   void final_state(std::int64_t now, std::int64_t asked, const std::string& id, const std::string& state);
   using TaskId = std::pair<std::string, std::uint32_t>;
   std::map<TaskId, std::vector<standins::Worker::Place>> on_;
+  std::map<std::string, double> used_;  // processors, by team
 };
 
 struct Scenario {
@@ -258,6 +259,7 @@
   bool is_mute(const std::string& worker) const;
   void look_closely(std::size_t user);
   std::vector<std::string> draw_awaited();
+  int steps_before(const std::string& id) const;
   void name_an_unknown_job(const wire::Job& like);
   void ask_oddly();
   void cancel_running(int jobs, std::int64_t hang_ms);
