--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -284,22 +284,25 @@
 // Found on the bench: jobs that fail everywhere had healthy machines returned as faulty, two by two, kept
 // machines rented for all their tasks, and nothing was ever consolidated while they waited.
 TEST(Blame, JobsThatFailEverywhereCostFewTriesAndNoMachine) {
-  Scenario s;
-  s.seed = 21;
-  s.loss = 0;
-  s.mistaken = 0.25;
-  s.tasks_most = 30;
-  World w(s);
-  w.run();
-  EXPECT_TRUE(w.judge.broken.empty()) << report(w);
-  std::size_t jobs = 0, failures = 0, others = 0;
-  for (const auto& [id, job] : w.judge.jobs)
-    if (job.mistaken && job.accepted) ++jobs, failures += job.failures;
-  for (const auto& id : w.unfinished()) others += w.judge.jobs[id].mistaken ? 0 : 1;
-  for (const auto& l : w.log) EXPECT_EQ(l.find("machine.faulty"), std::string::npos) << l;
-  EXPECT_GT(jobs, 3U);
-  EXPECT_LT(failures, jobs * 15);  // 8 each; 22 when every wave takes what room there is
-  EXPECT_EQ(others, 0U);
+  std::size_t jobs = 0, failures = 0;
+  for (std::uint64_t seed = 21; seed <= 28; ++seed) {
+    Scenario s;
+    s.seed = seed;
+    s.loss = 0;
+    s.mistaken = 0.25;
+    s.tasks_most = 30;
+    World w(s);
+    w.run();
+    EXPECT_TRUE(w.judge.broken.empty()) << report(w);
+    std::size_t others = 0;
+    for (const auto& [id, job] : w.judge.jobs)
+      if (job.mistaken && job.accepted) ++jobs, failures += job.failures;
+    for (const auto& id : w.unfinished()) others += w.judge.jobs[id].mistaken ? 0 : 1;
+    for (const auto& l : w.log) EXPECT_EQ(l.find("machine.faulty"), std::string::npos) << l;
+    EXPECT_EQ(others, 0U);
+  }
+  EXPECT_GT(jobs, 24U);
+  EXPECT_LT(failures, jobs * 10);  // 7 or 8 each, a few days up to 16; 22 when every wave takes what room there is
 }
 
 // A machine on which every task fails is found and returned, mistaken jobs or not.
