--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -225,6 +225,7 @@
     // Size, types, spot or not, zone, and the job itself where its other tasks decide what is allowed.
     using Wanted = std::tuple<double, double, double, std::uint64_t, bool, int, std::uint64_t>;
     std::vector<Machine*> fleet;
+    std::size_t unreserved = 0;  // of these, kept for no job yet
     std::vector<Of> of;
     std::map<Wanted, std::vector<Offer>> offers;  // heaps, the soonest at the top
   };
