--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -12,19 +12,27 @@
 
 constexpr const char* kLeaderKey = "leader";
 constexpr const char* kTermKey = "term";
-constexpr const char* kLedKey = "led";  // who led last, in which term, and whether the roster holds all that runs
+constexpr const char* kLedKey =
+    "led";  // who led last, in which term, and whether the roster holds all that runs
 constexpr const char* kWhole = "whole";
 
 // The leader's own view of its lease: counted from before the request was sent, shortened by drift.
 Ms conservative(Ms sent) {
-  return sent + static_cast<Ms>(static_cast<double>(kLeaderTtlMs) * (1 - 2 * kDrift)) - kLeaderMarginMs;
+  return sent + static_cast<Ms>(static_cast<double>(kLeaderTtlMs) * (1 - 2 * kDrift)) -
+         kLeaderMarginMs;
 }
 
 }  // namespace
 
 Leadership::Leadership(Outbox& out, StoreClient& store, std::string node, std::uint64_t seed,
                        std::vector<std::string> peers, bool roster, const wire::Level* level)
-    : out_(out), store_(store), node_(std::move(node)), random_(seed), peers_(std::move(peers)), roster_(roster), level_(level) {}
+    : out_(out),
+      store_(store),
+      node_(std::move(node)),
+      random_(seed),
+      peers_(std::move(peers)),
+      roster_(roster),
+      level_(level) {}
 
 std::optional<std::uint64_t> Leadership::read_term(const json& value) const {
   if (level_ == nullptr && !value.is_number_unsigned()) return std::nullopt;
@@ -39,19 +47,22 @@
     const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
     const auto term = item ? read_term(item->value) : std::nullopt;
     if (!term) return read(t);
-    // The one before this process may have been the last to lead: then nobody acts, and nothing that it
-    // promised earlier is still open. The term guards against a record that a later leader did not write.
-    store_.get(t, Rank::lease, kLedKey, [this, term = *term](Ms t2, int status2, std::string_view body2) {
-      const auto led = status2 == 200 ? wire::parse_item(body2) : std::nullopt;
-      if (led && led->value.is_object() && led->value.value("node", "") == node_ &&
-          led->value.value("term", std::uint64_t{0}) == term)
-        former_ours_ = true;
-      read(t2);
-    });
+    // The one before this process may have been the last to lead: then nobody acts, and nothing
+    // that it promised earlier is still open. The term guards against a record that a later leader
+    // did not write.
+    store_.get(t, Rank::lease, kLedKey,
+               [this, term = *term](Ms t2, int status2, std::string_view body2) {
+                 const auto led = status2 == 200 ? wire::parse_item(body2) : std::nullopt;
+                 if (led && led->value.is_object() && led->value.value("node", "") == node_ &&
+                     led->value.value("term", std::uint64_t{0}) == term)
+                   former_ours_ = true;
+                 read(t2);
+               });
   });
 }
 
-// ---- promises ---------------------------------------------------------------------------------------
+// ---- promises
+// ---------------------------------------------------------------------------------------
 
 Ms Leadership::promised_to_us() const {
   if (peers_.empty() || promises_.size() < peers_.size()) return 0;
@@ -70,13 +81,16 @@
   return round_;
 }
 
-std::optional<Leadership::Promise> Leadership::granted(Ms now, const std::string& node, std::uint64_t round) {
+std::optional<Leadership::Promise> Leadership::granted(Ms now, const std::string& node,
+                                                       std::uint64_t round) {
   // Only while the right to act has not lapsed: after a gap somebody may have taken over meanwhile.
   if (!holds(now)) return std::nullopt;
   const auto it = rounds_.find(round);
   if (it == rounds_.end()) return std::nullopt;
   // Counted from before the question was sent, which is before the promise was made.
-  const Ms until = it->second + static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 - 2 * kDrift)) - kLeaderMarginMs;
+  const Ms until = it->second +
+                   static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 - 2 * kDrift)) -
+                   kLeaderMarginMs;
   if (promises_.empty()) out_.log(Event::outage_promised, term_);
   auto& mine = promises_[node];
   mine = std::max(mine, until);
@@ -85,15 +99,19 @@
 
 namespace {
 // How long a promise binds whoever gave it, by its own clock.
-constexpr Ms bound_ms() { return static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 + 2 * kDrift)) + kLeaseMarginMs; }
+constexpr Ms bound_ms() {
+  return static_cast<Ms>(static_cast<double>(kPromiseMs) * (1 + 2 * kDrift)) + kLeaseMarginMs;
+}
 }  // namespace
 
-Ms Leadership::bound_until() const { return leading_ || peers_.empty() ? 0 : std::max(promised_until_, started_ + bound_ms()); }
+Ms Leadership::bound_until() const {
+  return leading_ || peers_.empty() ? 0 : std::max(promised_until_, started_ + bound_ms());
+}
 
 bool Leadership::grant(Ms now, std::uint64_t term) {
-  // Promising is safe whoever asks: it only binds this node, and the leader counts it only while it has
-  // the right to act. A node that was cut off until the outage began may know no leader at all, and its
-  // promise is needed all the same.
+  // Promising is safe whoever asks: it only binds this node, and the leader counts it only while it
+  // has the right to act. A node that was cut off until the outage began may know no leader at all,
+  // and its promise is needed all the same.
   if (leading_ || contending_ || term < term_ || state_lost_) return false;
   if (store_down_since_ == 0) {
     // Watches stay open in an outage and tell nothing: ask the store.
@@ -107,7 +125,8 @@
     }
     return false;
   }
-  if (now - store_down_since_ > kPromiseMs) store_down_since_ = 0;  // look again before the next promise
+  if (now - store_down_since_ > kPromiseMs)
+    store_down_since_ = 0;  // look again before the next promise
   promised_until_ = now + bound_ms();
   return true;
 }
@@ -155,30 +174,33 @@
 void Leadership::read(Ms now) {
   if (reading_) return;
   reading_ = true;
-  store_.get(now, Rank::lease, kLeaderKey, [this, known = std::max(known_term_, term_)](Ms t, int status, std::string_view body) {
-    reading_ = false;
-    if (status == 200) {
-      if (auto item = wire::parse_item(body)) {
-        // A leader of a term before one that was known when this was asked.
-        if (!state_lost_ && on_behind && item->value.is_object() && item->value.value("term", std::uint64_t{0}) < known) on_behind(t, "term");
-        // The revision of the read is not given; the key's own will do, for a watch from there
-        // shows every later change of it.
-        revision_ = std::max(revision_, item->version);
-        observe(t, item->value.value("node", ""), item->value.value("term", std::uint64_t{0}),
-                item->version, item->lease);
-        if (!watching_) watch(t);
-        return;
-      }
-    } else if (status == 404) {
-      if (auto rev = wire::parse_revision(body)) {
-        revision_ = std::max(revision_, *rev);
-        vacant(t, *rev);
-        if (!watching_) watch(t);
-        return;
-      }
-    }
-    read_at_ = t + kStoreRetryMs;
-  });
+  store_.get(now, Rank::lease, kLeaderKey,
+             [this, known = std::max(known_term_, term_)](Ms t, int status, std::string_view body) {
+               reading_ = false;
+               if (status == 200) {
+                 if (auto item = wire::parse_item(body)) {
+                   // A leader of a term before one that was known when this was asked.
+                   if (!state_lost_ && on_behind && item->value.is_object() &&
+                       item->value.value("term", std::uint64_t{0}) < known)
+                     on_behind(t, "term");
+                   // The revision of the read is not given; the key's own will do, for a watch from
+                   // there shows every later change of it.
+                   revision_ = std::max(revision_, item->version);
+                   observe(t, item->value.value("node", ""),
+                           item->value.value("term", std::uint64_t{0}), item->version, item->lease);
+                   if (!watching_) watch(t);
+                   return;
+                 }
+               } else if (status == 404) {
+                 if (auto rev = wire::parse_revision(body)) {
+                   revision_ = std::max(revision_, *rev);
+                   vacant(t, *rev);
+                   if (!watching_) watch(t);
+                   return;
+                 }
+               }
+               read_at_ = t + kStoreRetryMs;
+             });
 }
 
 void Leadership::watch(Ms now) {
@@ -193,7 +215,8 @@
           if (e.deleted) {
             vacant(t, e.version);
           } else {
-            observe(t, e.value.value("node", ""), e.value.value("term", std::uint64_t{0}), e.version, 0);
+            observe(t, e.value.value("node", ""), e.value.value("term", std::uint64_t{0}),
+                    e.version, 0);
             read(t);  // the watch does not tell the lease
           }
         }
@@ -221,13 +244,16 @@
   version_ = version;
   contend_at_ = 0;
   if (node != node_ && lease != 0) {
-    // A store that has lost something gives out numbers again, and a leader that heeds no loss would go on by the renewals
-    // of somebody else's lease: found as tasks that ran twice, since it kept their workers' leases alive for good.
+    // A store that has lost something gives out numbers again, and a leader that heeds no loss
+    // would go on by the renewals of somebody else's lease: found as tasks that ran twice, since it
+    // kept their workers' leases alive for good.
     store_.shun(lease);
     if (!state_lost_ || !deaf || !deaf(node)) return;
-    // It leads on such a state, and will never know: with its lease its key goes. Workers must not be sent there either.
+    // It leads on such a state, and will never know: with its lease its key goes. Workers must not
+    // be sent there either.
     leader_.clear();
-    store_.call(now, Rank::lease, Method::del, wire::end_path(lease), {}, [this](Ms t, int, std::string_view) { read(t); });
+    store_.call(now, Rank::lease, Method::del, wire::end_path(lease), {},
+                [this](Ms t, int, std::string_view) { read(t); });
     return;
   }
   // Our own name on a lease that we don't hold: a former process of ours, which is dead, or a
@@ -263,42 +289,56 @@
     contend_at_ = now + kTickMs;
     return;
   }
-  const Ms free = std::max(promised_until_, (first_ever_ && known_term_ == 0) || former_ours_ || peers_.empty() ? 0 : started_ + bound_ms());
+  const Ms free =
+      std::max(promised_until_, (first_ever_ && known_term_ == 0) || former_ours_ || peers_.empty()
+                                    ? 0
+                                    : started_ + bound_ms());
   if (now < free) {
     contend_at_ = free;
     return;
   }
   contending_ = true;
   lease_sent_ = now;
-  store_.hold(now, static_cast<std::uint32_t>(kLeaderTtlMs), [this](Ms t, std::optional<std::uint64_t> lease) {
-    if (!lease) return end_contest(t);
-    lease_ = *lease;
-    // What was known when it was asked: a term that was taken meanwhile proves nothing.
-    store_.get(t, Rank::lease, kTermKey, [this, known = std::max(known_term_, term_)](Ms t2, int status2, std::string_view body2) {
-      std::uint64_t term = 0, version = 0;
-      if (status2 == 200) {
-        auto item = wire::parse_item(body2);
-        const auto stored = item ? read_term(item->value) : std::nullopt;
-        if (!stored) return end_contest(t2);
-        term = *stored;
-        version = item->version;
-      } else if (status2 != 404) {
-        return end_contest(t2);
-      }
-      known_term_ = std::max(known_term_, term_);
-      if (term < known && !state_lost_ && on_behind) on_behind(t2, "term");
-      if (state_lost_) return take_over(t2, std::max(term, known_term_) + 1, version, false);
-      if (version == 0) return take_over(t2, 1, 0, roster_);  // nobody ever led, and nothing was ever launched
-      store_.get(t2, Rank::lease, kLedKey, [this, term, version](Ms t3, int status3, std::string_view body3) {
-        if (status3 != 200 && status3 != 404) return end_contest(t3);
-        const auto led = status3 == 200 ? wire::parse_item(body3) : std::nullopt;
-        // Written with the term by every leader; by one of an older version, or without a roster, without this field.
-        const bool whole = led && led->value.is_object() && led->value.value("term", std::uint64_t{0}) == term &&
-                           led->value.value("roster", "") == kWhole;
-        take_over(t3, term + 1, version, roster_ && whole);
+  store_.hold(
+      now, static_cast<std::uint32_t>(kLeaderTtlMs),
+      [this](Ms t, std::optional<std::uint64_t> lease) {
+        if (!lease) return end_contest(t);
+        lease_ = *lease;
+        // What was known when it was asked: a term that was taken meanwhile proves nothing.
+        store_.get(t, Rank::lease, kTermKey,
+                   [this, known = std::max(known_term_, term_)](Ms t2, int status2,
+                                                                std::string_view body2) {
+                     std::uint64_t term = 0, version = 0;
+                     if (status2 == 200) {
+                       auto item = wire::parse_item(body2);
+                       const auto stored = item ? read_term(item->value) : std::nullopt;
+                       if (!stored) return end_contest(t2);
+                       term = *stored;
+                       version = item->version;
+                     } else if (status2 != 404) {
+                       return end_contest(t2);
+                     }
+                     known_term_ = std::max(known_term_, term_);
+                     if (term < known && !state_lost_ && on_behind) on_behind(t2, "term");
+                     if (state_lost_)
+                       return take_over(t2, std::max(term, known_term_) + 1, version, false);
+                     if (version == 0)
+                       return take_over(t2, 1, 0,
+                                        roster_);  // nobody ever led, and nothing was ever launched
+                     store_.get(
+                         t2, Rank::lease, kLedKey,
+                         [this, term, version](Ms t3, int status3, std::string_view body3) {
+                           if (status3 != 200 && status3 != 404) return end_contest(t3);
+                           const auto led = status3 == 200 ? wire::parse_item(body3) : std::nullopt;
+                           // Written with the term by every leader; by one of an older version, or
+                           // without a roster, without this field.
+                           const bool whole = led && led->value.is_object() &&
+                                              led->value.value("term", std::uint64_t{0}) == term &&
+                                              led->value.value("roster", "") == kWhole;
+                           take_over(t3, term + 1, version, roster_ && whole);
+                         });
+                   });
       });
-    });
-  });
 }
 
 std::string Leadership::led(std::uint64_t term, bool whole) const {
@@ -316,25 +356,27 @@
       .put(kLeaderKey, json{{"node", node_}, {"term", term}}.dump(), lease_)
       .put(kTermKey, wire::encode_term(term, level_ != nullptr ? *level_ : wire::Level{}))
       .put(kLedKey, led(term, whole));
-  store_.commit(now, Rank::lease, txn, [this, term, whole](Ms t, int status, std::string_view body) {
-    if (status == 200) {
-      if (auto rev = wire::parse_revision(body)) return win(t, *rev, term, whole);
-    }
-    // Lost, or unknown: if our transaction is applied after all, reading the key shows our name
-    // on a lease that nobody renews, and it is ended.
-    end_contest(t);
-  });
+  store_.commit(now, Rank::lease, txn,
+                [this, term, whole](Ms t, int status, std::string_view body) {
+                  if (status == 200) {
+                    if (auto rev = wire::parse_revision(body)) return win(t, *rev, term, whole);
+                  }
+                  // Lost, or unknown: if our transaction is applied after all, reading the key
+                  // shows our name on a lease that nobody renews, and it is ended.
+                  end_contest(t);
+                });
 }
 
 void Leadership::make_roster_whole(Ms now, std::function<void(Ms, bool)> done) {
   if (!leading_ || !roster_ || roster_whole_) return;
   wire::Txn txn;
   txn.if_version(kLeaderKey, version_).put(kLedKey, led(term_, true));
-  store_.commit(now, Rank::lease, txn, [this, term = term_, done = std::move(done)](Ms t, int status, std::string_view) {
-    const bool stored = status == 200 && leading_ && term == term_;
-    if (stored) roster_whole_ = true;
-    done(t, stored);
-  });
+  store_.commit(now, Rank::lease, txn,
+                [this, term = term_, done = std::move(done)](Ms t, int status, std::string_view) {
+                  const bool stored = status == 200 && leading_ && term == term_;
+                  if (stored) roster_whole_ = true;
+                  done(t, stored);
+                });
 }
 
 void Leadership::distrust_roster(Ms now) {
@@ -355,7 +397,8 @@
 void Leadership::end_contest(Ms now) {
   contending_ = false;
   if (lease_ != 0)
-    store_.call(now, Rank::low, Method::del, wire::end_path(lease_), {}, [](Ms, int, std::string_view) {});
+    store_.call(now, Rank::low, Method::del, wire::end_path(lease_), {},
+                [](Ms, int, std::string_view) {});
   lease_ = 0;
   read_at_ = now + kStoreRetryMs;
 }
@@ -383,16 +426,16 @@
   const auto lease = lease_;
   store_.call(now, Rank::lease, Method::post, wire::touch_path(lease), "{}",
               [this, now, lease](Ms t, int status, std::string_view) {
-    if (!leading_ || lease != lease_) return;
-    if (status == 200) {
-      // `now` is when the renewal was asked for, which is before the store received it.
-      lease_until_ = std::max(lease_until_, conservative(now));
-      renewed_at_ = std::max(renewed_at_, now);
-      promises_.clear();
-    } else if (status == 404) {
-      lost(t, "the lease ended");
-    }
-  });
+                if (!leading_ || lease != lease_) return;
+                if (status == 200) {
+                  // `now` is when the renewal was asked for, which is before the store received it.
+                  lease_until_ = std::max(lease_until_, conservative(now));
+                  renewed_at_ = std::max(renewed_at_, now);
+                  promises_.clear();
+                } else if (status == 404) {
+                  lost(t, "the lease ended");
+                }
+              });
 }
 
 void Leadership::resign(Ms now, const char* why) {
@@ -400,7 +443,8 @@
   abstain_until_ = now + kAbstainMs;
   const auto lease = lease_;
   lost(now, why);
-  store_.call(now, Rank::lease, Method::del, wire::end_path(lease), {}, [](Ms, int, std::string_view) {});
+  store_.call(now, Rank::lease, Method::del, wire::end_path(lease), {},
+              [](Ms, int, std::string_view) {});
 }
 
 void Leadership::lost(Ms now, const char* why) {
--- a/src/core/leadership.hpp
+++ b/src/core/leadership.hpp
@@ -13,22 +13,25 @@
 class Leadership {
  public:
   // `peers`: the other controllers; all of them, or promises are not used.
-  // `level`: of the stored state, as this node sees it; null: a version that heeds none, to which a term in the form
-  // of a higher level is unreadable.
-  // `roster`: this node's leader stores what it launches before it launches it (core/leader_roster.cpp).
-  Leadership(Outbox& out, StoreClient& store, std::string node, std::uint64_t seed, std::vector<std::string> peers, bool roster, const wire::Level* level);
+  // `level`: of the stored state, as this node sees it; null: a version that heeds none, to which a
+  // term in the form of a higher level is unreadable. `roster`: this node's leader stores what it
+  // launches before it launches it (core/leader_roster.cpp).
+  Leadership(Outbox& out, StoreClient& store, std::string node, std::uint64_t seed,
+             std::vector<std::string> peers, bool roster, const wire::Level* level);
 
   void start(Ms now);
   void tick(Ms now);
 
   bool leading() const { return leading_; }
-  // By its own conservative count nobody else can lead yet: its lease is running, or the others' promises are.
+  // By its own conservative count nobody else can lead yet: its lease is running, or the others'
+  // promises are.
   bool holds(Ms now) const { return leading_ && now < std::max(lease_until_, promised_to_us()); }
   // It may act: that, and no cancellation can have been told for too long that it does not know of.
   bool may_act(Ms now) const { return holds(now) && (!knows_until || now < knows_until()); }
   // Nobody else can lead, and it may not act all the same.
   bool must_be_silent(Ms now) const { return holds(now) && !may_act(now); }
-  // Until when what this controller knows of cancellations suffices to answer machines (docs/safety.md).
+  // Until when what this controller knows of cancellations suffices to answer machines
+  // (docs/safety.md).
   std::function<Ms()> knows_until;
 
   // A state outage longer than the lease: the leader goes on while every other controller promises
@@ -36,7 +39,8 @@
   // leader which is refused alone is replaced as usual.
   bool wants_promises(Ms now) const;
   std::uint64_t ask(Ms now);  // the number of a new round of asking
-  // When a promise of this round was asked for, and until when it stands; nothing: it does not count.
+  // When a promise of this round was asked for, and until when it stands; nothing: it does not
+  // count.
   struct Promise {
     Ms asked = 0, until = 0;
   };
@@ -44,14 +48,16 @@
   bool grant(Ms now, std::uint64_t term);
   // Until when a promise of this node may stand, one of a process before this one included.
   Ms bound_until() const;
-  // Another controller knows of this term. A leader that was refused by the store alone learns by it that it was
-  // replaced: thinking itself the leader, it would refuse the promise that its successor needs in an outage.
+  // Another controller knows of this term. A leader that was refused by the store alone learns by
+  // it that it was replaced: thinking itself the leader, it would refuse the promise that its
+  // successor needs in an outage.
   void heard_term(Ms now, std::uint64_t term);
   std::uint64_t term() const { return term_; }
   std::uint64_t key_version() const { return version_; }  // of `leader`, for conditions
-  // In every term before this one that may matter, what was launched was in the stored roster first; so a task that
-  // is not in it is nowhere. Otherwise an earlier leader kept none (an older version of the program, or its operators
-  // switched it off) and what it launched may not have been found yet.
+  // In every term before this one that may matter, what was launched was in the stored roster
+  // first; so a task that is not in it is nowhere. Otherwise an earlier leader kept none (an older
+  // version of the program, or its operators switched it off) and what it launched may not have
+  // been found yet.
   bool roster_whole() const { return roster_whole_; }
   // Everything that may be running is in the stored roster from now on. To be stored.
   void make_roster_whole(Ms now, std::function<void(Ms, bool stored)> done);
@@ -62,15 +68,17 @@
   std::uint64_t revision() const { return revision_; }
   // Gives leadership up on purpose, and leaves it to others for a while.
   void resign(Ms now, const char* why);
-  const std::string& leader() const { return leader_; }   // empty: nobody known
+  const std::string& leader() const { return leader_; }  // empty: nobody known
   // A condition on the leader key failed: somebody else leads.
   void lost(Ms now, const char* why);
 
-  // The stored state has lost something (core/levels.hpp): what was read is forgotten, nobody is promised anything, and
-  // until it is rebuilt a takeover believes neither the stored term nor the roster.
+  // The stored state has lost something (core/levels.hpp): what was read is forgotten, nobody is
+  // promised anything, and until it is rebuilt a takeover believes neither the stored term nor the
+  // roster.
   void state_lost(Ms now);
   void state_rebuilt() { state_lost_ = false; }
-  // This controller heeds no loss: if it leads in one, nothing is rebuilt. It is unseated then (docs/safety.md).
+  // This controller heeds no loss: if it leads in one, nothing is rebuilt. It is unseated then
+  // (docs/safety.md).
   std::function<bool(const std::string& node)> deaf;
   // A worker has heard of this term, or another controller has.
   void knows_term(std::uint64_t term) { known_term_ = std::max(known_term_, term); }
@@ -102,7 +110,8 @@
   std::string leader_;
   std::uint64_t term_ = 0, version_ = 0, lease_ = 0, revision_ = 0;
   Ms lease_until_ = 0, lease_sent_ = 0;
-  Ms next_touch_ = 0, contend_at_ = 0, read_at_ = 0, observed_at_ = 0, abstain_until_ = 0, distrust_at_ = 0;
+  Ms next_touch_ = 0, contend_at_ = 0, read_at_ = 0, observed_at_ = 0, abstain_until_ = 0,
+     distrust_at_ = 0;
   std::vector<std::string> peers_;
   std::map<std::string, Ms> promises_;  // to us, until when
   std::map<std::uint64_t, Ms> rounds_;  // when each was asked
--- a/src/core/levels.cpp
+++ b/src/core/levels.cpp
@@ -20,7 +20,8 @@
 }
 }  // namespace
 
-Levels::Levels(Outbox& out, StoreClient& store, const Platform& platform, rollout::Support mine, std::uint32_t most, std::uint64_t life)
+Levels::Levels(Outbox& out, StoreClient& store, const Platform& platform, rollout::Support mine,
+               std::uint32_t most, std::uint64_t life)
     : out_(out),
       store_(store),
       platform_(platform),
@@ -32,7 +33,9 @@
   store_.on_loss = [this](Ms now, const char* why) { losing(now, why); };
 }
 
-wire::ProgressForm Levels::progress_form() const { return wire::progress_form(level_.active); }
+wire::ProgressForm Levels::progress_form() const {
+  return wire::progress_form(level_.active);
+}
 
 void Levels::start(Ms now, std::int64_t wall_ms) {
   started_ = now;
@@ -44,13 +47,16 @@
 }
 
 std::string Levels::sign() const {
-  return mine_.announces ? wire::encode_sign({self_, store_.seen(), lost_ ? lost_generation_ : level_.generation, lost_}) : std::string();
+  return mine_.announces ? wire::encode_sign({self_, store_.seen(),
+                                              lost_ ? lost_generation_ : level_.generation, lost_})
+                         : std::string();
 }
 
 void Levels::heard(Ms now, const std::string& node, std::string_view text) {
   const auto sign = mine_.announces ? wire::decode_sign(node, text) : std::nullopt;
   const auto* before = members_.find(node);
-  const bool other = before != nullptr && sign && (!before->said || before->said->life != sign->said.life);
+  const bool other =
+      before != nullptr && sign && (!before->said || before->said->life != sign->said.life);
   members_.heard(now, node, sign ? std::optional(sign->said) : std::nullopt);
   if (other && on_new_process) on_new_process(node);
   if (!sign || sign->said.to < kLineageLevel || !heeds()) return;
@@ -61,11 +67,13 @@
   }
   // What a peer has seen of the same state, this node's next answer must be no older than.
   if (!sign->lost && sign->generation == level_.generation) store_.knows(sign->seen);
-  // Of an identity that does not stand in the store as this node has read it: it is behind, or the store has lost it.
+  // Of an identity that does not stand in the store as this node has read it: it is behind, or the
+  // store has lost it.
   if (!lost_ && known_ && sign->generation > level_.generation) look(now);
 }
 
-// ---- a loss -----------------------------------------------------------------------------------------
+// ---- a loss
+// -----------------------------------------------------------------------------------------
 
 void Levels::losing(Ms now, const char* why) {
   lost_generation_ = std::max(lost_generation_, level_.generation);
@@ -91,10 +99,13 @@
 
 bool Levels::heard_all(Ms now) const {
   if (now - started_ >= kPeerSilentMs) return true;
-  return std::all_of(members_.all().begin(), members_.all().end(), [](const auto& m) { return m.second.heard_at.has_value(); });
+  return std::all_of(members_.all().begin(), members_.all().end(),
+                     [](const auto& m) { return m.second.heard_at.has_value(); });
 }
 
-std::string Levels::new_lineage(std::int64_t since_s) const { return std::to_string(self_.life) + "-" + std::to_string(since_s); }
+std::string Levels::new_lineage(std::int64_t since_s) const {
+  return std::to_string(self_.life) + "-" + std::to_string(since_s);
+}
 
 bool Levels::deaf(const std::string& node) const {
   const auto* m = members_.find(node);
@@ -107,12 +118,14 @@
   next_wait_ = now + kLossTellMs;
   const bool own = leader == platform_.node;
   const char* what = leader.empty() ? "a leader" : own ? "the rebuild here" : "the rebuild";
-  out_.log(Event::state_waits, static_cast<double>(now - lost_since_) / 1000, what, leader, lost_generation_);
+  out_.log(Event::state_waits, static_cast<double>(now - lost_since_) / 1000, what, leader,
+           lost_generation_);
 }
 
 bool Levels::heard_any(Ms now) const {
   return now - started_ >= kPeerSilentMs || members_.all().empty() ||
-         std::any_of(members_.all().begin(), members_.all().end(), [](const auto& m) { return m.second.heard_at.has_value(); });
+         std::any_of(members_.all().begin(), members_.all().end(),
+                     [](const auto& m) { return m.second.heard_at.has_value(); });
 }
 
 void Levels::knew(const wire::Level& level) {
@@ -128,7 +141,8 @@
   l.low = std::min(l.low, level_.low);
   l.high = std::max(l.high, level_.high);
   l.active = std::max(l.active, level_.active);
-  l.generation = std::max({lost_generation_, l.generation, level_.generation, peer_generation_}) + 1;
+  l.generation =
+      std::max({lost_generation_, l.generation, level_.generation, peer_generation_}) + 1;
   // Below the level that brings it the state had none; the rebuilt one is known by it.
   if (l.lineage.empty()) l.lineage = new_lineage((started_ + wall_minus_steady_) / 1000);
   return l;
@@ -138,30 +152,32 @@
   if (looking_ || !mine_.announces) return;
   looking_ = true;
   look_at_ = 0;
-  store_.get(now, Rank::lease, kLevelKey, [this, expected = peer_generation_](Ms t, int status, std::string_view body) {
-    looking_ = false;
-    const auto too_old = [&](std::uint64_t generation) {
-      if (lost_ || generation >= expected || !heeds()) return false;
-      lost_generation_ = expected;
-      store_.lose(t, "generation");
-      return true;
-    };
-    if (status == 404) return too_old(0) ? void() : adopt(t, {}, 0);
-    const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
-    if (!item) {
-      look_at_ = t + kStoreRetryMs;
-      return;
-    }
-    // One that can't be read is of a version newer than any that this one knows.
-    const auto level = wire::decode_level(item->value);
-    if (!level) return refuse(t, "unreadable");
-    if (!too_old(level->generation)) adopt(t, *level, item->version);
-  });
+  store_.get(now, Rank::lease, kLevelKey,
+             [this, expected = peer_generation_](Ms t, int status, std::string_view body) {
+               looking_ = false;
+               const auto too_old = [&](std::uint64_t generation) {
+                 if (lost_ || generation >= expected || !heeds()) return false;
+                 lost_generation_ = expected;
+                 store_.lose(t, "generation");
+                 return true;
+               };
+               if (status == 404) return too_old(0) ? void() : adopt(t, {}, 0);
+               const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
+               if (!item) {
+                 look_at_ = t + kStoreRetryMs;
+                 return;
+               }
+               // One that can't be read is of a version newer than any that this one knows.
+               const auto level = wire::decode_level(item->value);
+               if (!level) return refuse(t, "unreadable");
+               if (!too_old(level->generation)) adopt(t, *level, item->version);
+             });
 }
 
 void Levels::adopt(Ms now, const wire::Level& level, std::uint64_t stamp) {
-  // An answer that was overtaken: this node's own switch is stored already. Not in a loss: the store has gone back, perhaps
-  // more than once, and a controller that would not look at what stands there now refused its users for good.
+  // An answer that was overtaken: this node's own switch is stored already. Not in a loss: the
+  // store has gone back, perhaps more than once, and a controller that would not look at what
+  // stands there now refused its users for good.
   if (known_ && !lost_ && stamp < stamp_) return;
   const bool other = !known_ || stamp != stamp_;
   bool forgotten = false;
@@ -175,20 +191,23 @@
       return;
     }
     lost_ = false;
-    // The announcement may be gone without its lease being missed: a store that has lost everything gives the lease's
-    // number to somebody else, and renewing that one looks well. It held every switch back for good.
+    // The announcement may be gone without its lease being missed: a store that has lost everything
+    // gives the lease's number to somebody else, and renewing that one looks well. It held every
+    // switch back for good.
     forgotten = true;
     store_.recovered();
     out_.log(Event::state_recovered, level.generation);
     if (on_recovered) on_recovered(now);
   }
   if (heeds()) store_.heed_losses();
-  if (!self_.supports(level)) return refuse(now, std::to_string(level.low) + "-" + std::to_string(level.high));
+  if (!self_.supports(level))
+    return refuse(now, std::to_string(level.low) + "-" + std::to_string(level.high));
   store_.set_level(stamp);
   unsupported_ = false;
-  if (other && (level.high > 1 || serving_)) out_.log(Event::level_active, level.active, level.low, level.high);
-  // A running process that supports the level goes on: whatever it wrote under the former one was refused. One that
-  // has announced nothing yet does so now, under the level as just read.
+  if (other && (level.high > 1 || serving_))
+    out_.log(Event::level_active, level.active, level.low, level.high);
+  // A running process that supports the level goes on: whatever it wrote under the former one was
+  // refused. One that has announced nothing yet does so now, under the level as just read.
   if (!serving_ || forgotten) announce(now);
 }
 
@@ -201,8 +220,9 @@
   if (on_unsupported) on_unsupported(now);
 }
 
-// Conditioned on the level as read, by the store client, and on what stood there: a former process's late write can't
-// take the place of this one's. From the write on a switch is conditioned on this very announcement.
+// Conditioned on the level as read, by the store client, and on what stood there: a former
+// process's late write can't take the place of this one's. From the write on a switch is
+// conditioned on this very announcement.
 void Levels::announce(Ms now) {
   if (announcing_) return;
   announcing_ = true;
@@ -210,33 +230,41 @@
     announcing_ = false;
     look_at_ = t + kStoreRetryMs;
   };
-  store_.hold(now, static_cast<std::uint32_t>(kMemberTtlMs), [this, again](Ms t, std::optional<std::uint64_t> lease) {
-    if (!lease) return again(t);
-    store_.get(t, Rank::lease, kNodePrefix + platform_.node, [this, again, lease = *lease](Ms t2, int status2, std::string_view body2) {
-      const auto item = status2 == 200 ? wire::parse_item(body2) : std::nullopt;
-      if (!item && status2 != 404) return again(t2);
-      wire::Txn txn;
-      const auto key = kNodePrefix + platform_.node;
-      txn.if_version(key, item ? item->version : 0).put(key, wire::encode(self_), lease);
-      store_.commit(t2, Rank::lease, txn, [this, again, lease](Ms t3, int status3, std::string_view) {
-        if (status3 != 200) return again(t3);
-        announcing_ = false;
-        lease_ = lease;
-        renew_at_ = t3 + kMemberRenewMs;
-        if (std::exchange(serving_, true)) return;
-        out_.log(Event::member_announced, static_cast<std::int64_t>(self_.life >> 1), mine_.from, mine_.to);
-        if (on_serving) on_serving(t3);
+  store_.hold(
+      now, static_cast<std::uint32_t>(kMemberTtlMs),
+      [this, again](Ms t, std::optional<std::uint64_t> lease) {
+        if (!lease) return again(t);
+        store_.get(
+            t, Rank::lease, kNodePrefix + platform_.node,
+            [this, again, lease = *lease](Ms t2, int status2, std::string_view body2) {
+              const auto item = status2 == 200 ? wire::parse_item(body2) : std::nullopt;
+              if (!item && status2 != 404) return again(t2);
+              wire::Txn txn;
+              const auto key = kNodePrefix + platform_.node;
+              txn.if_version(key, item ? item->version : 0).put(key, wire::encode(self_), lease);
+              store_.commit(
+                  t2, Rank::lease, txn, [this, again, lease](Ms t3, int status3, std::string_view) {
+                    if (status3 != 200) return again(t3);
+                    announcing_ = false;
+                    lease_ = lease;
+                    renew_at_ = t3 + kMemberRenewMs;
+                    if (std::exchange(serving_, true)) return;
+                    out_.log(Event::member_announced, static_cast<std::int64_t>(self_.life >> 1),
+                             mine_.from, mine_.to);
+                    if (on_serving) on_serving(t3);
+                  });
+            });
       });
-    });
-  });
 }
 
 void Levels::renew(Ms now) {
   renew_at_ = now + kMemberRenewMs;
-  store_.call(now, Rank::lease, Method::post, wire::touch_path(lease_), "{}", [this](Ms t, int status, std::string_view) {
-    // Gone: nobody switches while it is, for an announcement that is missing holds every switch back.
-    if (status == 404 && serving_) announce(t);
-  });
+  store_.call(now, Rank::lease, Method::post, wire::touch_path(lease_), "{}",
+              [this](Ms t, int status, std::string_view) {
+                // Gone: nobody switches while it is, for an announcement that is missing holds
+                // every switch back.
+                if (status == 404 && serving_) announce(t);
+              });
 }
 
 void Levels::tick(Ms now) {
@@ -244,7 +272,8 @@
   if (look_at_ != 0 && now >= look_at_) {
     look_at_ = 0;
     if (lost_) return look(now);
-    // A process that serves and has lost its announcement only needs a new one; the level tells itself by refused writes.
+    // A process that serves and has lost its announcement only needs a new one; the level tells
+    // itself by refused writes.
     if (serving_)
       announce(now);
     else
@@ -253,14 +282,16 @@
   if (serving_ && renew_at_ != 0 && now >= renew_at_) renew(now);
 }
 
-// ---- leader -----------------------------------------------------------------------------------------
+// ---- leader
+// -----------------------------------------------------------------------------------------
 
 void Levels::hold(Ms now, std::uint32_t target, const Held& held) {
   if (held.why != Hold::none) free_since_ = 0;
   if (held.why == Hold::none && free_since_ == 0) free_since_ = now;
   if (held.why == held_.why && held.member == held_.member) return;
   held_ = held;
-  if (held.why != Hold::none) out_.log(Event::level_held, target, rollout::word(held.why), held.member);
+  if (held.why != Hold::none)
+    out_.log(Event::level_held, target, rollout::word(held.why), held.member);
 }
 
 void Levels::advance(Ms now, std::uint64_t term, std::uint64_t leader_version, std::size_t others) {
@@ -280,9 +311,10 @@
     return;
   }
   const auto target = step.next->active;
-  // Members are who the settings name; where they don't name everybody, somebody may be passed by. One condition for
-  // each member, one for oneself, the leader and the level.
-  if (static_cast<int>(platform_.peers.size()) + 1 != platform_.nodes || platform_.nodes + 2 > 4 * platform_.store.transaction_changes)
+  // Members are who the settings name; where they don't name everybody, somebody may be passed by.
+  // One condition for each member, one for oneself, the leader and the level.
+  if (static_cast<int>(platform_.peers.size()) + 1 != platform_.nodes ||
+      platform_.nodes + 2 > 4 * platform_.store.transaction_changes)
     return hold(now, target, {Hold::settings, ""});
   const auto held = rollout::held_by(now, *step.next, members_, false);
   hold(now, target, held);
@@ -293,32 +325,37 @@
   read_members(now, term, leader_version, *step.next, "");
 }
 
-void Levels::read_members(Ms now, std::uint64_t term, std::uint64_t leader_version, const wire::Level& next, std::string after) {
-  store_.range(now, Rank::leader, kNodePrefix, after, [this, term, leader_version, next](Ms t, int status, std::string_view body) {
-    auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
-    if (!page) {
-      switching_ = false;
-      return;
-    }
-    for (const auto& i : page->items) {
-      auto said = wire::decode_announcement(i.value);
-      if (!said || kNodePrefix + said->node != i.key) continue;  // as if it had announced nothing
-      if (said->node == platform_.node) {
-        if (said->life == self_.life) self_stamp_ = i.version;
-      } else {
-        members_.stored(std::move(*said), i.version);
-      }
-    }
-    if (page->more && !page->items.empty()) return read_members(t, term, leader_version, next, page->items.back().key);
-    auto held = rollout::held_by(t, next, members_, true);
-    if (held.why == Hold::none && self_stamp_ == 0) held = {Hold::absent, platform_.node};
-    hold(t, next.active, held);
-    if (held.why != Hold::none) {
-      switching_ = false;
-      return;
-    }
-    switch_to(t, term, leader_version, next);
-  });
+void Levels::read_members(Ms now, std::uint64_t term, std::uint64_t leader_version,
+                          const wire::Level& next, std::string after) {
+  store_.range(now, Rank::leader, kNodePrefix, after,
+               [this, term, leader_version, next](Ms t, int status, std::string_view body) {
+                 auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
+                 if (!page) {
+                   switching_ = false;
+                   return;
+                 }
+                 for (const auto& i : page->items) {
+                   auto said = wire::decode_announcement(i.value);
+                   if (!said || kNodePrefix + said->node != i.key)
+                     continue;  // as if it had announced nothing
+                   if (said->node == platform_.node) {
+                     if (said->life == self_.life) self_stamp_ = i.version;
+                   } else {
+                     members_.stored(std::move(*said), i.version);
+                   }
+                 }
+                 if (page->more && !page->items.empty())
+                   return read_members(t, term, leader_version, next, page->items.back().key);
+                 auto held = rollout::held_by(t, next, members_, true);
+                 if (held.why == Hold::none && self_stamp_ == 0)
+                   held = {Hold::absent, platform_.node};
+                 hold(t, next.active, held);
+                 if (held.why != Hold::none) {
+                   switching_ = false;
+                   return;
+                 }
+                 switch_to(t, term, leader_version, next);
+               });
 }
 
 void Levels::switch_to(Ms now, std::uint64_t term, std::uint64_t leader_version, wire::Level next) {
@@ -341,12 +378,14 @@
   store_.commit(now, Rank::leader, txn, [this, next](Ms t, int status, std::string_view body) {
     switching_ = false;
     if (const auto rev = status == 200 ? wire::parse_revision(body) : std::nullopt) {
-      out_.log(next.active == level_.active ? Event::level_settled : Event::level_switched, next.active, next.term);
+      out_.log(next.active == level_.active ? Event::level_settled : Event::level_switched,
+               next.active, next.term);
       held_ = {};
       free_since_ = 0;
       return adopt(t, next, *rev);
     }
-    // Refused, or nobody knows: what stands there decides. Applied late, it makes the next write fail, and that is looked at.
+    // Refused, or nobody knows: what stands there decides. Applied late, it makes the next write
+    // fail, and that is looked at.
     free_since_ = 0;
     look(t);
   });
--- a/src/core/levels.hpp
+++ b/src/core/levels.hpp
@@ -1,6 +1,7 @@
-// The level of the stored state, as this node sees it: reads it before anything else, announces this process, and, while
-// leading, brings the store to the next level once every controller supports it. What decides is rollout/ and
-// membership/; this class asks the store and tells the others.
+// The level of the stored state, as this node sees it: reads it before anything else, announces
+// this process, and, while leading, brings the store to the next level once every controller
+// supports it. What decides is rollout/ and membership/; this class asks the store and tells the
+// others.
 #pragma once
 #include "core/store_client.hpp"
 #include "membership/members.hpp"
@@ -15,43 +16,51 @@
 class Levels {
  public:
   // `most`: the operators' limit. `life`: drawn anew by each process.
-  Levels(Outbox& out, StoreClient& store, const settings::Platform& platform, rollout::Support mine, std::uint32_t most, std::uint64_t life);
+  Levels(Outbox& out, StoreClient& store, const settings::Platform& platform, rollout::Support mine,
+         std::uint32_t most, std::uint64_t life);
 
   void start(Ms now, std::int64_t wall_ms);
   void tick(Ms now);
-  // The level was read, this process supports it, and its announcement stood in the store at that level: from then on
-  // no switch passes it by. Before that, and after it has met a level that it does not support, it does nothing.
+  // The level was read, this process supports it, and its announcement stood in the store at that
+  // level: from then on no switch passes it by. Before that, and after it has met a level that it
+  // does not support, it does nothing.
   bool serving() const { return serving_; }
   bool unsupported() const { return unsupported_; }
   const wire::Level& level() const { return level_; }
   wire::ProgressForm progress_form() const;
 
-  // The newest version of the key `level` that this node has seen, to go with each sign of life: others look at once,
-  // and need not find out by a write that is refused.
+  // The newest version of the key `level` that this node has seen, to go with each sign of life:
+  // others look at once, and need not find out by a write that is refused.
   std::uint64_t stamp() const { return stamp_; }
   void newer(Ms now, std::uint64_t stamp) {
     if (stamp > stamp_ && known_ && !lost_) look(now);
   }
-  // The stored state has lost something, and has not been rebuilt: this node serves nobody and decides nothing but who
-  // leads the rebuild. Known by an answer of the store, or told by another controller.
+  // The stored state has lost something, and has not been rebuilt: this node serves nobody and
+  // decides nothing but who leads the rebuild. Known by an answer of the store, or told by another
+  // controller.
   bool lost() const { return lost_; }
-  // This version knows losses from the start, whatever the level: an identity is only what says that it was rebuilt.
+  // This version knows losses from the start, whatever the level: an identity is only what says
+  // that it was rebuilt.
   bool heeds() const { return mine_.announces && mine_.to >= settings::kLineageLevel; }
   // A controller of a version that heeds no loss: it was heard, and did not say that it does.
   bool deaf(const std::string& node) const;
   void tell_wait(Ms now, const std::string& leader);  // by each tick
-  // For the rebuild's last write: what was known before the loss and what stands there now, one generation on.
+  // For the rebuild's last write: what was known before the loss and what stands there now, one
+  // generation on.
   wire::Level rebuilt() const;
   const wire::Level& known_level() const { return lost_ ? before_ : level_; }
   // A term that is stored is below one that is known, or a record is gone.
   void behind(Ms now, const char* why);
-  // Every other controller was heard, or would have been, since this process began: what it reads can be held against
-  // what they know.
+  // Every other controller was heard, or would have been, since this process began: what it reads
+  // can be held against what they know.
   bool heard_all(Ms now) const;
   bool heard_any(Ms now) const;  // one of them
-  std::function<void(const std::string& node)> on_new_process;  // another controller's: it knows nothing yet
+  std::function<void(const std::string& node)>
+      on_new_process;                   // another controller's: it knows nothing yet
   void knew(const wire::Level& level);  // another controller, before the loss
-  void adopt_rebuilt(Ms now, const wire::Level& level, std::uint64_t stamp) { adopt(now, level, stamp); }
+  void adopt_rebuilt(Ms now, const wire::Level& level, std::uint64_t stamp) {
+    adopt(now, level, stamp);
+  }
 
   std::uint64_t life() const { return self_.life; }  // this process's number
   std::string sign() const;  // to go with each sign of life; empty: this version says nothing
@@ -71,7 +80,8 @@
   void announce(Ms now);
   void renew(Ms now);
   void hold(Ms now, std::uint32_t target, const rollout::Held& held);
-  void read_members(Ms now, std::uint64_t term, std::uint64_t leader_version, const wire::Level& next, std::string after);
+  void read_members(Ms now, std::uint64_t term, std::uint64_t leader_version,
+                    const wire::Level& next, std::string after);
   void switch_to(Ms now, std::uint64_t term, std::uint64_t leader_version, wire::Level next);
 
   Outbox& out_;
@@ -84,7 +94,7 @@
   void losing(Ms now, const char* why);
   std::string new_lineage(std::int64_t since_s) const;
   wire::Level level_;
-  wire::Level before_;            // the loss: the most that anybody knew
+  wire::Level before_;  // the loss: the most that anybody knew
   std::uint64_t lost_generation_ = 0, peer_generation_ = 0;
   Ms started_ = 0, lost_since_ = 0, next_wait_ = 0;
   bool lost_ = false;
@@ -93,7 +103,8 @@
   std::uint64_t lease_ = 0;
   std::int64_t wall_minus_steady_ = 0;
   Ms look_at_ = 0, renew_at_ = 0, advance_at_ = 0, free_since_ = 0;
-  bool serving_ = false, unsupported_ = false, known_ = false, looking_ = false, announcing_ = false, switching_ = false;
+  bool serving_ = false, unsupported_ = false, known_ = false, looking_ = false,
+       announcing_ = false, switching_ = false;
   std::size_t others_ = 0;
   rollout::Held held_;
 };
--- a/src/core/live_view.cpp
+++ b/src/core/live_view.cpp
@@ -27,45 +27,52 @@
     revision_ = 0;
     return load(now, "");
   }
-  // A watch that holds for no time at all: every change since the copy's revision, as of a moment after
-  // this was sent.
+  // A watch that holds for no time at all: every change since the copy's revision, as of a moment
+  // after this was sent.
   store_.call(now, Rank::user, Method::get, wire::watch_path(kPrefix, revision_, 0), {},
               [this, epoch = epoch_](Ms t, int status, std::string_view body) {
-    auto page = status == 200 && epoch == epoch_ ? wire::parse_watch(body) : std::nullopt;
-    if (page) {
-      for (const auto& e : page->events) apply(e.key, e.deleted, e.value, e.version);
-      revision_ = std::max(revision_, page->revision);
-      return answer(t, true);
-    }
-    if (status == 410) {
-      // Too far behind: the store no longer has all the changes. From the beginning, for the same polls.
-      loaded_ = false;
-      jobs_.clear();
-      revision_ = 0;
-      return load(t, "");
-    }
-    answer(t, false);
-  });
+                auto page =
+                    status == 200 && epoch == epoch_ ? wire::parse_watch(body) : std::nullopt;
+                if (page) {
+                  for (const auto& e : page->events) apply(e.key, e.deleted, e.value, e.version);
+                  revision_ = std::max(revision_, page->revision);
+                  return answer(t, true);
+                }
+                if (status == 410) {
+                  // Too far behind: the store no longer has all the changes. From the beginning,
+                  // for the same polls.
+                  loaded_ = false;
+                  jobs_.clear();
+                  revision_ = 0;
+                  return load(t, "");
+                }
+                answer(t, false);
+              });
 }
 
-// Changes made while the pages are read come again with the first watch from the first page's revision.
+// Changes made while the pages are read come again with the first watch from the first page's
+// revision.
 void LiveView::load(Ms now, std::string after) {
-  store_.range(now, Rank::user, kPrefix, after, [this, epoch = epoch_](Ms t, int status, std::string_view body) {
-    auto page = status == 200 && epoch == epoch_ ? wire::parse_page(body) : std::nullopt;
-    if (!page) return answer(t, false);
-    if (revision_ == 0) revision_ = page->revision;
-    for (const auto& i : page->items) apply(i.key, false, i.value, i.version);
-    if (page->more && !page->items.empty()) return load(t, page->items.back().key);
-    loaded_ = true;
-    answer(t, true);
-  });
+  store_.range(now, Rank::user, kPrefix, after,
+               [this, epoch = epoch_](Ms t, int status, std::string_view body) {
+                 auto page =
+                     status == 200 && epoch == epoch_ ? wire::parse_page(body) : std::nullopt;
+                 if (!page) return answer(t, false);
+                 if (revision_ == 0) revision_ = page->revision;
+                 for (const auto& i : page->items) apply(i.key, false, i.value, i.version);
+                 if (page->more && !page->items.empty()) return load(t, page->items.back().key);
+                 loaded_ = true;
+                 answer(t, true);
+               });
 }
 
-void LiveView::apply(const std::string& key, bool deleted, const nlohmann::json& value, std::uint64_t version) {
+void LiveView::apply(const std::string& key, bool deleted, const nlohmann::json& value,
+                     std::uint64_t version) {
   if (key.size() <= kPrefixLength) return;
   const auto id = key.substr(kPrefixLength);
   const auto it = jobs_.find(id);
-  if (it != jobs_.end() && it->second.version >= version) return;  // a page that was read later had it
+  if (it != jobs_.end() && it->second.version >= version)
+    return;  // a page that was read later had it
   if (deleted) {
     if (it != jobs_.end()) jobs_.erase(it);
     if (on_over) on_over(id);
@@ -73,7 +80,8 @@
   }
   // A record that can't be read is a job all the same, and must not be called unknown.
   const auto record = wire::decode_live(value);
-  jobs_[id] = {record && record->withdrawn, record && record->mark > 0, record && record->mark > kMarkAtOnce, version,
+  jobs_[id] = {record && record->withdrawn, record && record->mark > 0,
+               record && record->mark > kMarkAtOnce, version,
                record ? record->job.awaits : std::vector<std::string>{}};
   if (on_record && record) on_record(id, value, *record, version);
 }
--- a/src/core/rebuilder.cpp
+++ b/src/core/rebuilder.cpp
@@ -11,11 +11,14 @@
 using Rank = StoreClient::Rank;
 namespace {
 constexpr const char* kPrefixes[] = {"live/", "prog/", "over/"};
-std::string progress_key(const std::string& job, std::uint32_t chunk) { return "prog/" + job + "/" + std::to_string(chunk); }
+std::string progress_key(const std::string& job, std::uint32_t chunk) {
+  return "prog/" + job + "/" + std::to_string(chunk);
+}
 }  // namespace
 
-Rebuilder::Rebuilder(Outbox& out, StoreClient& store, Levels& levels, const rebuild::Copy& own, const Platform& platform, std::uint64_t term,
-                     std::uint64_t leader_version, OnDone done)
+Rebuilder::Rebuilder(Outbox& out, StoreClient& store, Levels& levels, const rebuild::Copy& own,
+                     const Platform& platform, std::uint64_t term, std::uint64_t leader_version,
+                     OnDone done)
     : out_(out),
       store_(store),
       levels_(levels),
@@ -47,25 +50,29 @@
         out_.peer(node, wire::encode(ask));
       }
     }
-    const bool any = std::any_of(from_.begin(), from_.end(), [&](const auto& f) { return awaited(now, f.first, f.second); });
+    const bool any = std::any_of(from_.begin(), from_.end(),
+                                 [&](const auto& f) { return awaited(now, f.first, f.second); });
     if (loaded_ && (!any || now - began_ >= kGatherMs)) gathered(now);
     return;
   }
   if (!writing_ && now >= retry_at_) write(now);
 }
 
-// One that is there and keeps no copy is not waited for: an earlier version beside a loss made it longer by 5 s.
+// One that is there and keeps no copy is not waited for: an earlier version beside a loss made it
+// longer by 5 s.
 bool Rebuilder::awaited(Ms now, const std::string& node, const From& from) const {
   return !from.whole() && !(levels_.members().up(now, node) && levels_.deaf(node));
 }
 
-// A write that is refused for the leader's key will be for good. One that is refused again and again for anything else
-// has a cause that this process does not see; a new leader reads everything anew.
+// A write that is refused for the leader's key will be for good. One that is refused again and
+// again for anything else has a cause that this process does not see; a new leader reads everything
+// anew.
 bool Rebuilder::given_up(Ms now, int status, std::string_view body) {
   if (status != 409) return false;
   const bool led = body.find("\"leader\"") == std::string_view::npos;
   if (led && ++refused_ < kRebuildTries) return false;
-  out_.log(Event::rebuild_given_up, led ? "refused again and again" : "another leads", std::string(body.substr(0, 100)));
+  out_.log(Event::rebuild_given_up, led ? "refused again and again" : "another leads",
+           std::string(body.substr(0, 100)));
   if (on_deposed) on_deposed(now, "the rebuild is refused");
   return true;
 }
@@ -85,31 +92,34 @@
 }
 
 void Rebuilder::load(Ms now, std::size_t prefix, std::string after) {
-  store_.range(now, Rank::lease, kPrefixes[prefix], after, mine([this, prefix, after](Ms t, int status, std::string_view body) {
-    auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
-    if (!page) return load(t, prefix, after);
-    for (auto& i : page->items) {
-      const auto id = i.key.substr(5);
-      if (prefix == 0) {
-        if (const auto record = wire::decode_live(i.value)) merged_.live(id, i.value.dump(), record->withdrawn, record->mark);
-      } else if (prefix == 2) {
-        if (const auto record = wire::decode_over(i.value)) merged_.over(id, *record);
-      } else if (const auto k = parse_progress_key(i.key); k && i.value.is_string()) {
-        rebuild::Copy one(1);
-        one.progress(k->job, k->chunk, i.value.get<std::string>());
-        merged_.join(one);
-      }
-      stored_[i.key] = {i.version, i.value.dump()};
-    }
-    if (page->more && !page->items.empty()) return load(t, prefix, page->items.back().key);
-    if (prefix + 1 < std::size(kPrefixes)) return load(t, prefix + 1, "");
-    loaded_ = true;
-    tick(t);
-  }));
+  store_.range(now, Rank::lease, kPrefixes[prefix], after,
+               mine([this, prefix, after](Ms t, int status, std::string_view body) {
+                 auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
+                 if (!page) return load(t, prefix, after);
+                 for (auto& i : page->items) {
+                   const auto id = i.key.substr(5);
+                   if (prefix == 0) {
+                     if (const auto record = wire::decode_live(i.value))
+                       merged_.live(id, i.value.dump(), record->withdrawn, record->mark);
+                   } else if (prefix == 2) {
+                     if (const auto record = wire::decode_over(i.value)) merged_.over(id, *record);
+                   } else if (const auto k = parse_progress_key(i.key); k && i.value.is_string()) {
+                     rebuild::Copy one(1);
+                     one.progress(k->job, k->chunk, i.value.get<std::string>());
+                     merged_.join(one);
+                   }
+                   stored_[i.key] = {i.version, i.value.dump()};
+                 }
+                 if (page->more && !page->items.empty())
+                   return load(t, prefix, page->items.back().key);
+                 if (prefix + 1 < std::size(kPrefixes)) return load(t, prefix + 1, "");
+                 loaded_ = true;
+                 tick(t);
+               }));
 }
 
-// A version that heeds no loss may have led, and such a one tells nobody how far it launches: what the store lost of its
-// marks is known from the copies' last reading alone, up to a second old.
+// A version that heeds no loss may have led, and such a one tells nobody how far it launches: what
+// the store lost of its marks is known from the copies' last reading alone, up to a second old.
 bool Rebuilder::marks_untold() const {
   const auto& before = levels_.known_level();
   return before.high < 2 && std::any_of(from_.begin(), from_.end(), [&](const auto& f) {
@@ -118,12 +128,15 @@
          });
 }
 
-// What has to be written so that everything joined is stored, a job at a time. A leader tells the others a job's mark
-// before it launches beyond it, so the highest that anybody knows says which tasks may be somewhere.
+// What has to be written so that everything joined is stored, a job at a time. A leader tells the
+// others a job's mark before it launches beyond it, so the highest that anybody knows says which
+// tasks may be somewhere.
 void Rebuilder::gathered(Ms now) {
   gathering_ = false;
-  const auto missing = std::count_if(from_.begin(), from_.end(), [](const auto& f) { return !f.second.whole(); });
-  out_.log(Event::state_gathered, from_.size() - static_cast<std::size_t>(missing) + 1, missing, merged_.unfinished().size(), merged_.finals().size());
+  const auto missing =
+      std::count_if(from_.begin(), from_.end(), [](const auto& f) { return !f.second.whole(); });
+  out_.log(Event::state_gathered, from_.size() - static_cast<std::size_t>(missing) + 1, missing,
+           merged_.unfinished().size(), merged_.finals().size());
   const auto put = [&](std::vector<Put>& puts, const std::string& key, const std::string& text) {
     const auto it = stored_.find(key);
     if (it == stored_.end() ? !text.empty() : it->second.text != text) puts.push_back({key, text});
@@ -132,19 +145,26 @@
     std::vector<Put> puts;
     // As it stands there, if it does: two that differ in the count alone say the same.
     const auto it = stored_.find(over_key(job));
-    const auto there = it != stored_.end() ? wire::decode_over(nlohmann::json::parse(it->second.text)) : std::nullopt;
-    if (!there || there->withdrawn != record.withdrawn) puts.push_back({over_key(job), nlohmann::json::parse(wire::encode(record)).dump()});
+    const auto there = it != stored_.end()
+                           ? wire::decode_over(nlohmann::json::parse(it->second.text))
+                           : std::nullopt;
+    if (!there || there->withdrawn != record.withdrawn)
+      puts.push_back({over_key(job), nlohmann::json::parse(wire::encode(record)).dump()});
     if (stored_.contains(live_key(job))) puts.push_back({live_key(job), {}});
-    // A store that went back has its progress still, which nobody would ever drop, nor bring into another form.
+    // A store that went back has its progress still, which nobody would ever drop, nor bring into
+    // another form.
     const auto progress = "prog/" + job + "/";
-    for (auto p = stored_.lower_bound(progress); p != stored_.end() && p->first.starts_with(progress); ++p) puts.push_back({p->first, {}});
+    for (auto p = stored_.lower_bound(progress);
+         p != stored_.end() && p->first.starts_with(progress); ++p)
+      puts.push_back({p->first, {}});
     if (!puts.empty()) jobs_.push_back(std::move(puts));
   }
   const auto form = wire::progress_form(levels_.rebuilt().active);
   const bool all_marked = marks_untold();
   for (const auto& [job, u] : merged_.unfinished()) {
     auto record = wire::decode_live(nlohmann::json::parse(u.record, nullptr, false));
-    if (!record) continue;  // nothing but progress is known of it: it was never accepted, or is over
+    if (!record)
+      continue;  // nothing but progress is known of it: it was never accepted, or is over
     record->withdrawn = record->withdrawn || u.withdrawn;
     record->mark = all_marked ? record->job.tasks : std::max(record->mark, u.mark);
     std::vector<Put> puts;
@@ -165,12 +185,14 @@
   write(now);
 }
 
-// First which forms may stand there, and a term that versions from before levels refuse, still of the lost generation.
+// First which forms may stand there, and a term that versions from before levels refuse, still of
+// the lost generation.
 void Rebuilder::open(Ms now) {
   auto level = levels_.rebuilt();
   --level.generation;
   level.term = term_;
-  if (levels_.level().low <= level.low && levels_.level().high == level.high && levels_.level().generation == level.generation) {
+  if (levels_.level().low <= level.low && levels_.level().high == level.high &&
+      levels_.level().generation == level.generation) {
     opening_ = false;
     return write(now);
   }
@@ -182,17 +204,21 @@
 
 void Rebuilder::put_level(Ms now, const wire::Level& level, OnDone done) {
   wire::Txn txn;
-  txn.if_version("leader", leader_version_).put("level", wire::encode(level)).put("term", wire::encode_term(term_, level));
+  txn.if_version("leader", leader_version_)
+      .put("level", wire::encode(level))
+      .put("term", wire::encode_term(term_, level));
   writing_ = true;
-  store_.commit(now, Rank::lease, txn, mine([this, level, done = std::move(done)](Ms t, int status, std::string_view body) {
-    writing_ = false;
-    if (const auto revision = status == 200 ? wire::parse_revision(body) : std::nullopt) {
-      levels_.adopt_rebuilt(t, level, *revision);
-      return done(t);
-    }
-    if (given_up(t, status, body)) return;
-    retry_at_ = t + kStoreRetryMs;
-  }));
+  store_.commit(
+      now, Rank::lease, txn,
+      mine([this, level, done = std::move(done)](Ms t, int status, std::string_view body) {
+        writing_ = false;
+        if (const auto revision = status == 200 ? wire::parse_revision(body) : std::nullopt) {
+          levels_.adopt_rebuilt(t, level, *revision);
+          return done(t);
+        }
+        if (given_up(t, status, body)) return;
+        retry_at_ = t + kStoreRetryMs;
+      }));
 }
 
 void Rebuilder::write(Ms now) {
@@ -204,9 +230,12 @@
   std::vector<Put> puts;
   while (jobs < jobs_.size() && bytes < kRebuildBatch) {
     const auto& job = jobs_[jobs];
-    if (!puts.empty() && puts.size() + job.size() > static_cast<std::size_t>(platform_.store.transaction_changes)) break;
+    if (!puts.empty() &&
+        puts.size() + job.size() > static_cast<std::size_t>(platform_.store.transaction_changes))
+      break;
     for (const auto& p : job) {
-      if (puts.size() >= static_cast<std::size_t>(platform_.store.transaction_changes)) break;  // a job of many chunks: the rest follows
+      if (puts.size() >= static_cast<std::size_t>(platform_.store.transaction_changes))
+        break;  // a job of many chunks: the rest follows
       // A controller that knows of no loss may have written there meanwhile.
       const auto it = stored_.find(p.key);
       txn.if_version(p.key, it == stored_.end() ? 0 : it->second.version);
@@ -220,41 +249,43 @@
     ++jobs;
   }
   writing_ = true;
-  store_.commit(now, Rank::lease, txn, mine([this, puts = std::move(puts), jobs](Ms t, int status, std::string_view body) {
-    writing_ = false;
-    const auto revision = status == 200 ? wire::parse_revision(body) : std::nullopt;
-    if (!revision) {
-      // Refused, or nobody knows: what stands there is read again, and what is missing then is worked out anew.
-      if (given_up(t, status, body)) return;
-      retry_at_ = t + kStoreRetryMs;
-      if (status == 409 || status == 0) {
-        jobs_.clear();
-        stored_.clear();
-        gathering_ = true;
-        loaded_ = false;
-        load(t, 0, "");
-      }
-      return;
-    }
-    for (const auto& p : puts) {
-      if (p.text.empty())
-        stored_.erase(p.key);
-      else
-        stored_[p.key] = {*revision, p.text};
-    }
-    refused_ = 0;
-    written_ += puts.size();
-    std::size_t left = puts.size();
-    for (std::size_t i = 0; i < jobs; ++i) {
-      auto& job = jobs_.front();
-      const auto n = std::min(left, job.size());
-      left -= n;
-      job.erase(job.begin(), job.begin() + static_cast<std::ptrdiff_t>(n));
-      if (!job.empty()) break;
-      jobs_.pop_front();
-    }
-    write(t);
-  }));
+  store_.commit(now, Rank::lease, txn,
+                mine([this, puts = std::move(puts), jobs](Ms t, int status, std::string_view body) {
+                  writing_ = false;
+                  const auto revision = status == 200 ? wire::parse_revision(body) : std::nullopt;
+                  if (!revision) {
+                    // Refused, or nobody knows: what stands there is read again, and what is
+                    // missing then is worked out anew.
+                    if (given_up(t, status, body)) return;
+                    retry_at_ = t + kStoreRetryMs;
+                    if (status == 409 || status == 0) {
+                      jobs_.clear();
+                      stored_.clear();
+                      gathering_ = true;
+                      loaded_ = false;
+                      load(t, 0, "");
+                    }
+                    return;
+                  }
+                  for (const auto& p : puts) {
+                    if (p.text.empty())
+                      stored_.erase(p.key);
+                    else
+                      stored_[p.key] = {*revision, p.text};
+                  }
+                  refused_ = 0;
+                  written_ += puts.size();
+                  std::size_t left = puts.size();
+                  for (std::size_t i = 0; i < jobs; ++i) {
+                    auto& job = jobs_.front();
+                    const auto n = std::min(left, job.size());
+                    left -= n;
+                    job.erase(job.begin(), job.begin() + static_cast<std::ptrdiff_t>(n));
+                    if (!job.empty()) break;
+                    jobs_.pop_front();
+                  }
+                  write(t);
+                }));
 }
 
 void Rebuilder::finish(Ms now) {
--- a/src/core/rebuilder.hpp
+++ b/src/core/rebuilder.hpp
@@ -1,6 +1,7 @@
-// Rebuilds the stored state after a loss, on the controller that leads: asks the others for their copies, joins them
-// with its own and with what is still stored, writes what is missing or older, and then raises the generation, by which
-// all serve again. Whoever takes over in between begins anew; every step may be repeated. docs/rebuild.md.
+// Rebuilds the stored state after a loss, on the controller that leads: asks the others for their
+// copies, joins them with its own and with what is still stored, writes what is missing or older,
+// and then raises the generation, by which all serve again. Whoever takes over in between begins
+// anew; every step may be repeated. docs/rebuild.md.
 #pragma once
 #include <map>
 #include <set>
@@ -14,14 +15,17 @@
 class Rebuilder {
  public:
   using OnDone = std::function<void(Ms)>;
-  Rebuilder(Outbox& out, StoreClient& store, Levels& levels, const rebuild::Copy& own, const settings::Platform& platform, std::uint64_t term,
-            std::uint64_t leader_version, OnDone done);
+  Rebuilder(Outbox& out, StoreClient& store, Levels& levels, const rebuild::Copy& own,
+            const settings::Platform& platform, std::uint64_t term, std::uint64_t leader_version,
+            OnDone done);
 
   void start(Ms now);
   void tick(Ms now);
   void part(Ms now, const std::string& node, const wire::PeerMessage& m);  // copy_part
   // Each job that is known to be cancelled by any copy.
-  void on_withdrawn(std::function<void(const std::string& job)> f) { merged_.on_withdrawn = std::move(f); }
+  void on_withdrawn(std::function<void(const std::string& job)> f) {
+    merged_.on_withdrawn = std::move(f);
+  }
   // This controller can't bring it to an end: another is to lead, and begins anew.
   std::function<void(Ms, const char* why)> on_deposed;
 
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -15,7 +15,9 @@
 constexpr const char* kAskPrefix = "relay/";
 constexpr const char* kReplyPrefix = "reply/";
 
-std::size_t value_most(const Platform& platform) { return std::min(kRelayValueMost, platform.store.value_bytes() - kRelayValueFrame); }
+std::size_t value_most(const Platform& platform) {
+  return std::min(kRelayValueMost, platform.store.value_bytes() - kRelayValueFrame);
+}
 }  // namespace
 
 Relay::Relay(Outbox& out, StoreClient& store, Leadership& leadership, const Platform& platform,
@@ -29,7 +31,8 @@
       handle_(std::move(handle)),
       next_id_(1) {}
 
-// ---- follower -------------------------------------------------------------------------------------
+// ---- follower
+// -------------------------------------------------------------------------------------
 
 const std::string& Relay::zone_of(const std::string& node) const {
   for (const auto& p : platform_.peers)
@@ -64,15 +67,17 @@
   return fresh || members_.up(now, leadership_.leader());
 }
 
-bool Relay::pass_on(Ms now, std::uint64_t request, const wire::Report& report, std::string_view body, Ms until) {
+bool Relay::pass_on(Ms now, std::uint64_t request, const wire::Report& report,
+                    std::string_view body, Ms until) {
   const bool near = reachable(now);
   auto& since = relaying_[report.machine];
   const bool ours = home(now, report) == node_;
   bool relay = ours || !near || (since != 0 && now - since < kRelayMs);
   if (!relay) {
-    // A worker that has just come may have lost 5 s at a silent node, which may well be the leader. Its first
-    // report is passed on, so that it goes back there with a fresh lease. Redirected at once, it was back
-    // after 10 s of its 12 s, and a leader cut off from its workers cost 900 tasks (incident inc-a269).
+    // A worker that has just come may have lost 5 s at a silent node, which may well be the leader.
+    // Its first report is passed on, so that it goes back there with a fresh lease. Redirected at
+    // once, it was back after 10 s of its 12 s, and a leader cut off from its workers cost 900
+    // tasks (incident inc-a269).
     auto& welcomed = welcomed_[report.machine];
     if (welcomed == 0 || now - welcomed > kBouncedMs) {
       welcomed = now;
@@ -92,17 +97,18 @@
     // Only a worker that bounced off a leader which this node reaches stays here: once a leader is
     // heard again, the others go back to it.
     since = ours || !near ? 0 : now;
-    if (!ours)
-      out_.log(Event::relay_passing, report.machine, near ? "peer" : "store");
+    if (!ours) out_.log(Event::relay_passing, report.machine, near ? "peer" : "store");
   }
   send_to_leader(now, request, body, until, near);
   return true;
 }
 
-void Relay::send_to_leader(Ms now, std::uint64_t request, std::string_view body, Ms until, bool near) {
+void Relay::send_to_leader(Ms now, std::uint64_t request, std::string_view body, Ms until,
+                           bool near) {
   const auto id = next_id_++;
   pending_[id] = {request, until, std::string(body), near};
-  out_.figures().add(telemetry::Count::relayed, near ? telemetry::Way::peer : telemetry::Way::store);
+  out_.figures().add(telemetry::Count::relayed,
+                     near ? telemetry::Way::peer : telemetry::Way::store);
   if (near) {
     wire::PeerMessage m;
     m.kind = Kind::relay_ask;
@@ -151,13 +157,15 @@
   if (!watching_replies_) watch_replies(now);
   wire::Txn txn;
   txn.put(kAskPrefix + node_, json{{"seq", batch_seq_}, {"items", text}}.dump());
-  store_.commit(now, Rank::leader, txn, [this, sent = std::move(sent)](Ms, int status, std::string_view) {
-    if (status == 200) return;
-    batch_open_ = false;
-    // Refused for the level it was formed under, and not carried out: once more, under the new one. Left to time out,
-    // two zones apart whose relays learned of a switch by their first write lost 52 leases.
-    if (status == 409) unsent_.insert(unsent_.begin(), sent.begin(), sent.end());
-  });
+  store_.commit(now, Rank::leader, txn,
+                [this, sent = std::move(sent)](Ms, int status, std::string_view) {
+                  if (status == 200) return;
+                  batch_open_ = false;
+                  // Refused for the level it was formed under, and not carried out: once more,
+                  // under the new one. Left to time out, two zones apart whose relays learned of a
+                  // switch by their first write lost 52 leases.
+                  if (status == 409) unsent_.insert(unsent_.begin(), sent.begin(), sent.end());
+                });
 }
 
 void Relay::watch_replies(Ms now) {
@@ -170,7 +178,8 @@
       replies_revision_ = std::max(replies_revision_, page->revision);
       for (const auto& e : page->events) {
         if (e.deleted || !e.value.is_object()) continue;
-        // Answers may take more than one value, and the later one may come after the next batch has left.
+        // Answers may take more than one value, and the later one may come after the next batch has
+        // left.
         const auto seq = e.value.value("seq", std::uint64_t{0});
         if (seq < first_seq_ || seq > batch_seq_) continue;
         const auto items = e.value.find("items");
@@ -181,7 +190,8 @@
           auto it = pending_.find(a.id);
           if (it == pending_.end()) continue;
           out_.reply(it->second.request, a.status,
-                     a.status == 200 ? wire::report_answer(a.commands.token, a.commands.commands) : a.body);
+                     a.status == 200 ? wire::report_answer(a.commands.token, a.commands.commands)
+                                     : a.body);
           pending_.erase(it);
         }
         if (seq == batch_seq_) batch_open_ = false;
@@ -199,7 +209,8 @@
   });
 }
 
-// ---- leader -----------------------------------------------------------------------------------------
+// ---- leader
+// -----------------------------------------------------------------------------------------
 
 void Relay::lead(Ms now) {
   leading_ = true;
@@ -217,28 +228,30 @@
 
 void Relay::peer_ask(Ms now, const std::string& node, const wire::PeerMessage& m) {
   auto report = wire::parse_report(m.text);
-  if (!report) return;  // its relay took it for one: a newer version's, which its worker repeats elsewhere
+  if (!report)
+    return;  // its relay took it for one: a newer version's, which its worker repeats elsewhere
   const auto request = next_request_++;
   asked_[request] = {node, m.id, false};
   handle_(now, request, std::move(*report), false);
 }
 
 void Relay::watch_asks(Ms now) {
-  store_.watch(now, kAskPrefix, asks_revision_, [this, epoch = watch_epoch_](Ms t, int status, std::string_view body) {
-    if (!leading_ || epoch != watch_epoch_) return;
-    auto page = status == 200 ? wire::parse_watch(body) : std::nullopt;
-    if (page) {
-      asks_revision_ = std::max(asks_revision_, page->revision);
-      // Only the newest batch of each node: nobody waits for the older ones.
-      std::map<std::string, const json*> newest;
-      for (const auto& e : page->events)
-        if (!e.deleted && e.value.is_object()) newest[e.key.substr(6)] = &e.value;
-      for (const auto& [node, value] : newest) take_asks(t, node, *value);
-      return watch_asks(t);
-    }
-    if (status == 410) asks_revision_ = leadership_.revision();
-    retry_watch_at_ = t + kStoreRetryMs;
-  });
+  store_.watch(now, kAskPrefix, asks_revision_,
+               [this, epoch = watch_epoch_](Ms t, int status, std::string_view body) {
+                 if (!leading_ || epoch != watch_epoch_) return;
+                 auto page = status == 200 ? wire::parse_watch(body) : std::nullopt;
+                 if (page) {
+                   asks_revision_ = std::max(asks_revision_, page->revision);
+                   // Only the newest batch of each node: nobody waits for the older ones.
+                   std::map<std::string, const json*> newest;
+                   for (const auto& e : page->events)
+                     if (!e.deleted && e.value.is_object()) newest[e.key.substr(6)] = &e.value;
+                   for (const auto& [node, value] : newest) take_asks(t, node, *value);
+                   return watch_asks(t);
+                 }
+                 if (status == 410) asks_revision_ = leadership_.revision();
+                 retry_watch_at_ = t + kStoreRetryMs;
+               });
 }
 
 void Relay::take_asks(Ms now, const std::string& node, const json& value) {
@@ -275,7 +288,8 @@
   auto& batch = batches_[to.node];
   wire::RelayedAnswer answer{to.id, reply.status, {}, {}};
   if (reply.status == 200) {
-    if (auto commands = wire::parse_report_answer(reply.body)) answer.commands = std::move(*commands);
+    if (auto commands = wire::parse_report_answer(reply.body))
+      answer.commands = std::move(*commands);
   } else {
     answer.body = reply.body;
   }
@@ -286,8 +300,8 @@
 
 void Relay::write_answers(Ms now, const std::string& node) {
   auto& batch = batches_[node];
-  // More than one value where many launches go out at once; each takes the place of the one before, and
-  // the watch shows both.
+  // More than one value where many launches go out at once; each takes the place of the one before,
+  // and the watch shows both.
   while (!batch.answers.empty()) {
     const auto text = wire::encode_answers(batch.answers, value_most(platform_));
     wire::Txn txn;
@@ -318,8 +332,8 @@
     out_.reply(it->second.request, 503, wire::error_body("the leader can't be asked"));
     it = pending_.erase(it);
   }
-  // What was sent to a peer that has fallen silent goes through the store instead: refused, its worker
-  // would try the nodes beyond the cut one after the other, for longer than its lease.
+  // What was sent to a peer that has fallen silent goes through the store instead: refused, its
+  // worker would try the nodes beyond the cut one after the other, for longer than its lease.
   if (!pending_.empty() && !leading_ && !leadership_.leader().empty() && !reachable(now))
     for (auto& [id, p] : pending_)
       if (std::exchange(p.by_peer, false)) unsent_.push_back(id);
@@ -327,9 +341,12 @@
   if (!pending_.empty() && batch_open_ && !watching_replies_) watch_replies(now);
   // Machines come and go; only recent ones matter.
   const auto many = std::max(kRelayMachines, static_cast<std::size_t>(platform_.max_connections));
-  if (redirected_.size() > many) std::erase_if(redirected_, [&](const auto& x) { return now - x.second > kBouncedMs; });
-  if (welcomed_.size() > many) std::erase_if(welcomed_, [&](const auto& x) { return now - x.second > kBouncedMs; });
-  if (relaying_.size() > many) std::erase_if(relaying_, [&](const auto& x) { return now - x.second > kRelayMs; });
+  if (redirected_.size() > many)
+    std::erase_if(redirected_, [&](const auto& x) { return now - x.second > kBouncedMs; });
+  if (welcomed_.size() > many)
+    std::erase_if(welcomed_, [&](const auto& x) { return now - x.second > kBouncedMs; });
+  if (relaying_.size() > many)
+    std::erase_if(relaying_, [&](const auto& x) { return now - x.second > kRelayMs; });
 }
 
 }  // namespace hitchfront::core
--- a/src/core/relay.hpp
+++ b/src/core/relay.hpp
@@ -1,7 +1,7 @@
-// Passing workers' reports on to a leader that the workers can't reach: over the peer connection, or
-// through the store where the nodes can't reach each other either (two zones apart). A relay forms no
-// answers of its own; the leader's answer carries the leader's token and check, and the worker drops
-// whatever takes longer than 4 s, so a relayed answer is as safe as a direct one.
+// Passing workers' reports on to a leader that the workers can't reach: over the peer connection,
+// or through the store where the nodes can't reach each other either (two zones apart). A relay
+// forms no answers of its own; the leader's answer carries the leader's token and check, and the
+// worker drops whatever takes longer than 4 s, so a relayed answer is as safe as a direct one.
 #pragma once
 #include <map>
 #include <unordered_map>
@@ -28,9 +28,11 @@
   // Follower.
   bool reachable(Ms now) const;
   // Takes a worker's report if it should be passed on rather than redirected.
-  bool pass_on(Ms now, std::uint64_t request, const wire::Report& report, std::string_view body, Ms until);
+  bool pass_on(Ms now, std::uint64_t request, const wire::Report& report, std::string_view body,
+               Ms until);
   // Whom a worker should report to: a controller in its own zone if one is up, which passes its
-  // reports on, else the leader. When two zones lose each other the zone's workers then notice nothing.
+  // reports on, else the leader. When two zones lose each other the zone's workers then notice
+  // nothing.
   std::string home(Ms now, const wire::Report& report) const;
   // Leader: true if the worker was sent to the controller of its own zone.
   bool send_home(Ms now, std::uint64_t request, const wire::Report& report);
--- a/src/core/store_client.cpp
+++ b/src/core/store_client.cpp
@@ -8,19 +8,21 @@
 namespace hitchfront::core {
 using namespace settings;
 namespace {
-// The store's revision in an answer, where it tells one: a store that has lost everything tells 0. Quotes within texts are escaped, so this is a field.
+// The store's revision in an answer, where it tells one: a store that has lost everything tells 0.
+// Quotes within texts are escaped, so this is a field.
 std::optional<std::uint64_t> revision_in(std::string_view body) {
   constexpr std::string_view kField = "\"LedgerRev\":";
   auto at = body.find(kField);
   if (at == std::string_view::npos) return std::nullopt;
   for (at += kField.size(); at < body.size() && body[at] == ' ';) ++at;
   std::uint64_t n = 0;
-  for (; at < body.size() && body[at] >= '0' && body[at] <= '9'; ++at) n = n * 10 + static_cast<std::uint64_t>(body[at] - '0');
+  for (; at < body.size() && body[at] >= '0' && body[at] <= '9'; ++at)
+    n = n * 10 + static_cast<std::uint64_t>(body[at] - '0');
   return n;
 }
 constexpr std::string_view kLevelFailed = "\"level\"";  // in the answer's list of failed conditions
-constexpr std::size_t kAnswerShown = 100;  // bytes of an answer that the log shows
-constexpr int kTries = 6;          // answers of 429 before the caller is told
+constexpr std::size_t kAnswerShown = 100;               // bytes of an answer that the log shows
+constexpr int kTries = 6;                               // answers of 429 before the caller is told
 constexpr Ms kCrowdedPauseMs = 150;  // a bucket of one second refills by a seventh meanwhile
 }  // namespace
 
@@ -56,28 +58,33 @@
   return std::min(writes_.rate(), 1 + kNeedsSpare * used_ + waiting_writes_);
 }
 
-double StoreClient::backlog_s() const { return waiting_writes_ / std::max(writes_.rate(), 0.1); }
+double StoreClient::backlog_s() const {
+  return waiting_writes_ / std::max(writes_.rate(), 0.1);
+}
 
 void StoreClient::get(Ms now, Rank rank, std::string_view key, Done done) {
   call(now, rank, Method::get, wire::get_path(key), {}, std::move(done));
 }
-void StoreClient::range(Ms now, Rank rank, std::string_view prefix, std::string_view after, Done done) {
+void StoreClient::range(Ms now, Rank rank, std::string_view prefix, std::string_view after,
+                        Done done) {
   call(now, rank, Method::get, wire::range_path(prefix, after, kPageItems), {}, std::move(done));
 }
 void StoreClient::commit(Ms now, Rank rank, const wire::Txn& txn, Done done) {
   if (stopped_ || (lost_ && rank != Rank::lease)) return done(now, 503, {});
   using telemetry::Write;
   txn.each_prefix([&](std::string_view p) {
-    const auto what = rank == Rank::user                      ? Write::user
-                      : p == "prog/"                          ? Write::progress
-                      : p == "over/" || p == "live/" ? (txn.writes() > 1 ? Write::final : Write::mark)
-                      : p == "roster/"                        ? Write::roster
-                      : p == "relay/" || p == "reply/"        ? Write::relay
-                                                              : Write::lead;
+    const auto what = rank == Rank::user ? Write::user
+                      : p == "prog/"     ? Write::progress
+                      : p == "over/" || p == "live/"
+                          ? (txn.writes() > 1 ? Write::final : Write::mark)
+                      : p == "roster/"                 ? Write::roster
+                      : p == "relay/" || p == "reply/" ? Write::relay
+                                                       : Write::lead;
     out_.figures().add(telemetry::Count::store_writes, what);
     ++written_[static_cast<std::size_t>(what)];
   });
-  call(now, rank, Method::post, "/txn", level_ ? txn.body(kLevelKey, *level_) : txn.body(), std::move(done), txn.writes());
+  call(now, rank, Method::post, "/txn", level_ ? txn.body(kLevelKey, *level_) : txn.body(),
+       std::move(done), txn.writes());
 }
 // Again, where it is lost already: what has been read since the first loss does not hold either.
 void StoreClient::lose(Ms now, const char* why) {
@@ -109,7 +116,8 @@
   shunned_.push_back(lease);
   if (shunned_.size() > kShunned) shunned_.pop_front();
 }
-void StoreClient::hold(Ms now, std::uint32_t ttl_ms, std::function<void(Ms, std::optional<std::uint64_t>)> done) {
+void StoreClient::hold(Ms now, std::uint32_t ttl_ms,
+                       std::function<void(Ms, std::optional<std::uint64_t>)> done) {
   HttpCall c;
   c.method = Method::post;
   c.path = "/holds";
@@ -117,13 +125,16 @@
   c.timeout_ms = kStoreTimeoutMs;
   Waiting w{std::move(c), {}, 0, 0, 0};
   w.raw = true;
-  w.done = [this, ttl_ms, epoch = epoch_, done = std::move(done)](Ms t, int status, std::string_view body) {
+  w.done = [this, ttl_ms, epoch = epoch_, done = std::move(done)](Ms t, int status,
+                                                                  std::string_view body) {
     const auto lease = status == 200 ? wire::parse_lease(body) : std::nullopt;
     const bool shunned = lease && is_shunned(*lease);
     if (lease && epoch == epoch_ && !shunned) return done(t, lease);
-    // Asked for before a loss that is known by now, it may have been given after it: nobody would end it, and a leader of
-    // before may renew it for its own.
-    if (lease) call(t, Rank::lease, Method::del, wire::end_path(*lease), {}, [](Ms, int, std::string_view) {});
+    // Asked for before a loss that is known by now, it may have been given after it: nobody would
+    // end it, and a leader of before may renew it for its own.
+    if (lease)
+      call(t, Rank::lease, Method::del, wire::end_path(*lease), {},
+           [](Ms, int, std::string_view) {});
     if (shunned && epoch == epoch_) return hold(t, ttl_ms, done);
     done(t, std::nullopt);
   };
@@ -137,14 +148,16 @@
   enqueue(now, Rank::lease, {std::move(c), std::move(done), 0, 0, 0});
 }
 
-// A number of calls, 200, was a second's worth once; at 700 requests and 90 writes a second for five controllers it was
-// twenty seconds of acceptances, which users wait 5 s for.
+// A number of calls, 200, was a second's worth once; at 700 requests and 90 writes a second for
+// five controllers it was twenty seconds of acceptances, which users wait 5 s for.
 bool StoreClient::crowded(Rank rank) const {
   const auto& q = queues_[static_cast<std::size_t>(rank)];
   const auto over = [](const std::deque<Waiting>& calls, const Bucket& b) {
-    return calls.size() >= std::max(kStoreQueueLeast, static_cast<std::size_t>(b.rate() * kStoreQueueS));
+    return calls.size() >=
+           std::max(kStoreQueueLeast, static_cast<std::size_t>(b.rate() * kStoreQueueS));
   };
-  return over(q.writes, rank == Rank::user && leading_ ? users_ : writes_) || over(q.reads, requests_);
+  return over(q.writes, rank == Rank::user && leading_ ? users_ : writes_) ||
+         over(q.reads, requests_);
 }
 
 void StoreClient::enqueue(Ms now, Rank rank, Waiting w) {
@@ -159,7 +172,8 @@
   return !q.empty() && q.front().not_before <= now;
 }
 
-// The next of a queue, if it may go. A retry that is not due yet holds up what is behind it for 150 ms at the most.
+// The next of a queue, if it may go. A retry that is not due yet holds up what is behind it for 150
+// ms at the most.
 bool StoreClient::send_next(Ms now, std::size_t rank, bool writes) {
   auto& q = queues_[rank].of(writes);
   if (q.empty() || q.front().not_before > now || !requests_.can(now, 1)) return false;
@@ -182,14 +196,16 @@
     tell_at_ = now + kStateMs;
     const auto& w = written_;
     if (std::any_of(w.begin(), w.end(), [](auto n) { return n > 0; }))
-      out_.log(Event::store_writes, w[0], w[1], w[2], w[3], w[4], w[5], w[6], writes_waiting(Rank::user),
-               writes_waiting(Rank::first) + writes_waiting(Rank::leader) + writes_waiting(Rank::late));
+      out_.log(
+          Event::store_writes, w[0], w[1], w[2], w[3], w[4], w[5], w[6], writes_waiting(Rank::user),
+          writes_waiting(Rank::first) + writes_waiting(Rank::leader) + writes_waiting(Rank::late));
     written_ = {};
   }
-  // Questions about jobs that are over come last, and none of them may wait for as long as others come: the oldest has
-  // its turn a few times a second.
+  // Questions about jobs that are over come last, and none of them may wait for as long as others
+  // come: the oldest has its turn a few times a second.
   constexpr auto kLow = static_cast<std::size_t>(Rank::low);
-  if (now >= low_at_ && !queues_[kLow].reads.empty() && now - queues_[kLow].reads.front().born > kOldestMs) {
+  if (now >= low_at_ && !queues_[kLow].reads.empty() &&
+      now - queues_[kLow].reads.front().born > kOldestMs) {
     if (send_next(now, kLow, false)) low_at_ = now + kOldestEveryMs;
   }
   constexpr auto kUser = static_cast<std::size_t>(Rank::user);
@@ -198,10 +214,11 @@
     while (send_next(now, r, false)) {
     }
     while (writes && waits(r, now)) {
-      // What users bring to the leader's node must not keep the leader from its bookkeeping, without which nothing goes on:
-      // past their part they wait for what it leaves.
+      // What users bring to the leader's node must not keep the leader from its bookkeeping,
+      // without which nothing goes on: past their part they wait for what it leaves.
       const double n = queues_[r].writes.front().writes;
-      const bool shared = r == kUser && leading_ && waits(static_cast<std::size_t>(Rank::leader), now);
+      const bool shared =
+          r == kUser && leading_ && waits(static_cast<std::size_t>(Rank::leader), now);
       if (shared && !users_.can(now, n)) break;
       if (!send_next(now, r, true)) {
         writes = false;
@@ -217,9 +234,11 @@
   w.seen = seen_;
   w.epoch = epoch_;
   c.urgent = rank == Rank::lease;
-  out_.call(std::move(c), [this, rank, w = std::move(w)](Ms now, int status, std::string_view body) mutable {
+  out_.call(std::move(c), [this, rank, w = std::move(w)](Ms now, int status,
+                                                         std::string_view body) mutable {
     answered(now, w, status);
-    if (const auto revision = heeds_ ? revision_in(body) : std::nullopt; revision && w.epoch == epoch_) {
+    if (const auto revision = heeds_ ? revision_in(body) : std::nullopt;
+        revision && w.epoch == epoch_) {
       if (*revision < w.seen)
         lose(now, "revision");
       else
@@ -235,10 +254,13 @@
       enqueue(now, rank, std::move(w));
       return;
     }
-    if (status == 400 && w.writes > 0 && body.find("no such lease") == std::string_view::npos && !std::exchange(told_too_large_, true))
-      out_.log(Event::store_too_large, w.call.body.size(), w.writes, std::string(body.substr(0, kAnswerShown)));
+    if (status == 400 && w.writes > 0 && body.find("no such lease") == std::string_view::npos &&
+        !std::exchange(told_too_large_, true))
+      out_.log(Event::store_too_large, w.call.body.size(), w.writes,
+               std::string(body.substr(0, kAnswerShown)));
     // Before its sender is told, so that what it does next is formed with that under way.
-    if (status == 409 && level_ && body.find(kLevelFailed) != std::string_view::npos && on_other_level) {
+    if (status == 409 && level_ && body.find(kLevelFailed) != std::string_view::npos &&
+        on_other_level) {
       out_.figures().add(telemetry::Count::level_refused);
       on_other_level(now);
     }
@@ -246,17 +268,18 @@
   });
 }
 
-// An outage is told once, and once when it is over. A watch that is held in one says nothing either way.
+// An outage is told once, and once when it is over. A watch that is held in one says nothing either
+// way.
 void StoreClient::answered(Ms now, const Waiting& w, int status) {
   using telemetry::CallResult;
-  const auto result = status == 200   ? CallResult::ok
-                      : status == 409 ? CallResult::conflict
-                      : status == 404 ? CallResult::missing
-                      : status == 429 ? CallResult::crowded
-                      : status == 503 ? CallResult::refused
-                      : status == 0   ? CallResult::unanswered
+  const auto result = status == 200                   ? CallResult::ok
+                      : status == 409                 ? CallResult::conflict
+                      : status == 404                 ? CallResult::missing
+                      : status == 429                 ? CallResult::crowded
+                      : status == 503                 ? CallResult::refused
+                      : status == 0                   ? CallResult::unanswered
                       : status == 400 && w.writes > 0 ? CallResult::too_large
-                                      : CallResult::other;
+                                                      : CallResult::other;
   out_.figures().add(telemetry::Count::store_calls, result);
   if (status != 0) {
     unanswered_ = 0;
@@ -264,7 +287,8 @@
   } else if (!w.call.watch) {
     ++unanswered_;
   }
-  if (!w.call.watch && status != 0) out_.figures().observe(telemetry::Spread::store_s, static_cast<double>(now - w.born) / 1000);
+  if (!w.call.watch && status != 0)
+    out_.figures().observe(telemetry::Spread::store_s, static_cast<double>(now - w.born) / 1000);
   if (status != 0 && status != 503) {
     if (down_) out_.log(Event::store_up, static_cast<double>(now - failing_since_) / 1000);
     failing_since_ = 0;
--- a/src/dependencies/graph.hpp
+++ b/src/dependencies/graph.hpp
@@ -1,5 +1,6 @@
-// Which unfinished jobs wait for others (`Awaits`), and what follows once one of those has its final state: a job is
-// released when all that it awaits are done, and cancelled when one of them is, over any number of steps. Pure.
+// Which unfinished jobs wait for others (`Awaits`), and what follows once one of those has its
+// final state: a job is released when all that it awaits are done, and cancelled when one of them
+// is, over any number of steps. Pure.
 #pragma once
 #include <set>
 #include <string>
@@ -15,7 +16,8 @@
  public:
   // An unfinished job and the jobs that it awaits, of whose outcomes nothing is known here yet.
   void add(const std::string& job, const std::vector<std::string>& awaits);
-  // It is over, or not known here any more. Those that await it go on waiting until its outcome is told.
+  // It is over, or not known here any more. Those that await it go on waiting until its outcome is
+  // told.
   void remove(const std::string& job);
 
   struct Consequences {
@@ -34,8 +36,10 @@
  private:
   void cancel_dependents(const std::string& job, std::vector<std::string>& cancelled);
 
-  std::unordered_map<std::string, std::set<std::string>> awaited_by_;   // waiting job -> jobs without a known outcome
-  std::unordered_map<std::string, std::set<std::string>> waiting_for_;  // the same, the other way round
+  std::unordered_map<std::string, std::set<std::string>>
+      awaited_by_;  // waiting job -> jobs without a known outcome
+  std::unordered_map<std::string, std::set<std::string>>
+      waiting_for_;  // the same, the other way round
 };
 
 }  // namespace hitchfront::dependencies
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -35,7 +35,8 @@
 }
 
 std::size_t Members::up_now(Ms now) const {
-  return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [&](const auto& m) { return up(now, m.first); }));
+  return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(),
+                                                [&](const auto& m) { return up(now, m.first); }));
 }
 
 const Member* Members::find(const std::string& node) const {
--- a/src/membership/members.hpp
+++ b/src/membership/members.hpp
@@ -1,5 +1,5 @@
-// Who is there: every other controller that the settings name, what is known of each, and how old that is. One that
-// isn't heard is still a member. Pure: time comes in.
+// Who is there: every other controller that the settings name, what is known of each, and how old
+// that is. One that isn't heard is still a member. Pure: time comes in.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -16,8 +16,8 @@
 struct Member {
   std::optional<Ms> heard_at;              // its last sign of life
   std::optional<wire::Announcement> said;  // with that sign; nothing: a version that makes none
-  // By the last reading of the store: what it has announced there, and that key's stamp. Nothing: it never did, or
-  // its lease there has ended.
+  // By the last reading of the store: what it has announced there, and that key's stamp. Nothing:
+  // it never did, or its lease there has ended.
   std::optional<wire::Announcement> stored;
   std::uint64_t stamp = 0;
 };
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -16,7 +16,11 @@
 };
 
 Client::Client(event_base* base, std::string addr, int most, OnResponse on_response, int priority)
-    : base_(base), addr_(std::move(addr)), most_(most), priority_(priority), on_response_(std::move(on_response)) {
+    : base_(base),
+      addr_(std::move(addr)),
+      most_(most),
+      priority_(priority),
+      on_response_(std::move(on_response)) {
   const auto e = parse_endpoint(addr_);
   host_ = e.host;
   port_ = e.port;
@@ -42,12 +46,14 @@
     free_.pop_back();
   } else {
     connection = evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_);
-    if (priority_ != settings::kOrdinaryPriority) bufferevent_priority_set(evhttp_connection_get_bufferevent(connection), priority_);
+    if (priority_ != settings::kOrdinaryPriority)
+      bufferevent_priority_set(evhttp_connection_get_bufferevent(connection), priority_);
   }
   auto* running = new Running{this, base_, connection, c.id};
   running_.insert(running);
   auto* request = evhttp_request_new(&Client::finished, running);
-  timeval limit{static_cast<time_t>(c.timeout_ms / 1000), static_cast<suseconds_t>(c.timeout_ms % 1000 * 1000)};
+  timeval limit{static_cast<time_t>(c.timeout_ms / 1000),
+                static_cast<suseconds_t>(c.timeout_ms % 1000 * 1000)};
   evhttp_connection_set_timeout_tv(connection, &limit);
   auto* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", addr_.c_str());
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -20,7 +20,8 @@
   using OnResponse = std::function<void(std::uint64_t id, int status, std::string body)>;
   // `most`: connections at once; further calls wait. 0: no bound, and none is kept open.
   // `priority`: of its connections in the loop; lower goes first.
-  Client(event_base* base, std::string addr, int most, OnResponse on_response, int priority = settings::kOrdinaryPriority);
+  Client(event_base* base, std::string addr, int most, OnResponse on_response,
+         int priority = settings::kOrdinaryPriority);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -21,8 +21,10 @@
 
 std::string now_text() {
   const auto now = std::chrono::system_clock::now();
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
-  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03d}Z", fmt::gmtime(static_cast<std::time_t>(ms / 1000)), ms % 1000);
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03d}Z",
+                     fmt::gmtime(static_cast<std::time_t>(ms / 1000)), ms % 1000);
 }
 
 }  // namespace
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -9,8 +9,8 @@
 
 enum class LogFormat { text, json };
 
-// Sets spdlog's default logger up: standard error, the level that LOG_LEVEL names (error, info, debug; anything
-// else and nothing: info).
+// Sets spdlog's default logger up: standard error, the level that LOG_LEVEL names (error, info,
+// debug; anything else and nothing: info).
 void set_up_log(const std::string& node, LogFormat format);
 
 // Folds what happens per machine, and writes. Times are steady milliseconds, as the core has them.
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -17,14 +17,19 @@
 }  // namespace
 
 Peers::Peers(event_base* base, const settings::Platform& platform, OnFrame on_frame, OnPage on_page)
-    : base_(base), platform_(platform), on_frame_(std::move(on_frame)), on_page_(std::move(on_page)) {
+    : base_(base),
+      platform_(platform),
+      on_frame_(std::move(on_frame)),
+      on_page_(std::move(on_page)) {
   sockaddr_storage address{};
   int size = sizeof(address);
-  if (evutil_parse_sockaddr_port(platform.peer_listen.c_str(), reinterpret_cast<sockaddr*>(&address), &size) != 0)
+  if (evutil_parse_sockaddr_port(platform.peer_listen.c_str(),
+                                 reinterpret_cast<sockaddr*>(&address), &size) != 0)
     throw std::runtime_error("can't parse " + platform.peer_listen);
-  listener_ = evconnlistener_new_bind(base, &Peers::accepted, this,
-                                      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
-                                      reinterpret_cast<sockaddr*>(&address), size);
+  listener_ =
+      evconnlistener_new_bind(base, &Peers::accepted, this,
+                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
+                              reinterpret_cast<sockaddr*>(&address), size);
   if (listener_ == nullptr) throw std::runtime_error("can't listen on " + platform.peer_listen);
   for (const auto& p : platform.peers) outgoing_[p.node] = Outgoing{this, p.addr, nullptr};
 }
@@ -62,9 +67,12 @@
   std::string frame;
   while (true) {
     switch (wire::take_frame(in->buffer, frame, settings::kFrameMost)) {
-      case wire::FrameResult::none: return;
-      case wire::FrameResult::broken: return ended(events, BEV_EVENT_ERROR, in);
-      case wire::FrameResult::frame: break;
+      case wire::FrameResult::none:
+        return;
+      case wire::FrameResult::broken:
+        return ended(events, BEV_EVENT_ERROR, in);
+      case wire::FrameResult::frame:
+        break;
     }
     if (in->node.empty()) {
       if (!in->self->outgoing_.contains(frame)) return ended(events, BEV_EVENT_ERROR, in);
@@ -81,7 +89,8 @@
 bool Peers::page(bufferevent* events, Incoming& in) {
   auto* self = in.self;
   if (!in.page) {
-    if (in.buffer.size() < kGet.size() && kGet.starts_with(in.buffer)) return true;  // more will tell
+    if (in.buffer.size() < kGet.size() && kGet.starts_with(in.buffer))
+      return true;  // more will tell
     if (!in.buffer.starts_with(kGet)) return false;
     if (self->pages_ >= settings::kPagesMost) {
       ended(events, BEV_EVENT_ERROR, &in);
@@ -98,19 +107,23 @@
     return true;
   }
   bufferevent_disable(events, EV_READ);
-  auto path = in.buffer.substr(kGet.size(), in.buffer.find_first_of(" \r", kGet.size()) - kGet.size());
+  auto path =
+      in.buffer.substr(kGet.size(), in.buffer.find_first_of(" \r", kGet.size()) - kGet.size());
   path = path.substr(0, path.find('?'));
   const auto body = self->on_page_(path);
-  const std::string head = std::string(body.empty() ? "HTTP/1.1 404 Not Found" : "HTTP/1.1 200 OK") +
-                           "\r\nContent-Type: text/plain; version=0.0.4\r\nConnection: close\r\nContent-Length: " +
-                           std::to_string(body.size()) + "\r\n\r\n";
+  const std::string head =
+      std::string(body.empty() ? "HTTP/1.1 404 Not Found" : "HTTP/1.1 200 OK") +
+      "\r\nContent-Type: text/plain; version=0.0.4\r\nConnection: close\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n";
   bufferevent_setcb(events, nullptr, &Peers::page_written, &Peers::ended, &in);
   bufferevent_write(events, head.data(), head.size());
   bufferevent_write(events, body.data(), body.size());
   return true;
 }
 
-void Peers::page_written(bufferevent* events, void* in) { ended(events, BEV_EVENT_EOF, in); }
+void Peers::page_written(bufferevent* events, void* in) {
+  ended(events, BEV_EVENT_EOF, in);
+}
 
 void Peers::ended(bufferevent* events, short what, void* in_) {
   if ((what & (BEV_EVENT_ERROR | BEV_EVENT_EOF | BEV_EVENT_TIMEOUT)) == 0) return;
@@ -135,7 +148,9 @@
   if (out.events == nullptr) {
     sockaddr_storage address{};
     int size = sizeof(address);
-    if (evutil_parse_sockaddr_port(out.addr.c_str(), reinterpret_cast<sockaddr*>(&address), &size) != 0) return;
+    if (evutil_parse_sockaddr_port(out.addr.c_str(), reinterpret_cast<sockaddr*>(&address),
+                                   &size) != 0)
+      return;
     out.events = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(out.events, nullptr, nullptr, &Peers::out_ended, &out);
     const timeval stuck{4, 0};  // a peer behind a cut: give up and connect anew
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -1,6 +1,7 @@
-// Frames between controllers: each node sends over its own connection to each other node. The same address answers
-// GET (figures, for operators): evhttp can't take over a connection that somebody else has accepted, and there is one
-// address for both, so the few lines of HTTP that this takes stand here.
+// Frames between controllers: each node sends over its own connection to each other node. The same
+// address answers GET (figures, for operators): evhttp can't take over a connection that somebody
+// else has accepted, and there is one address for both, so the few lines of HTTP that this takes
+// stand here.
 #pragma once
 #include <event2/bufferevent.h>
 #include <event2/event.h>
--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -1,6 +1,7 @@
 #include "net/runtime.hpp"
 
 #include <event2/event.h>
+
 #include <chrono>
 #include <csignal>
 #include <ctime>
@@ -34,9 +35,10 @@
   return static_cast<double>(t.tv_sec) * 1000 + static_cast<double>(t.tv_nsec) / 1e6;
 }
 
-// Two priorities, looked at anew after a few callbacks. Without them a turn of the loop dealt with every worker that
-// had something to say, seconds of it on a small share of a processor, before the lease on the lead was renewed: on
-// simulated calm days of a fleet of 1,271 machines the lead was lost that way.
+// Two priorities, looked at anew after a few callbacks. Without them a turn of the loop dealt with
+// every worker that had something to say, seconds of it on a small share of a processor, before the
+// lease on the lead was renewed: on simulated calm days of a fleet of 1,271 machines the lead was
+// lost that way.
 event_base* new_base() {
   auto* config = event_config_new();
   const timeval most{0, kTurnMs * 1000};
@@ -57,10 +59,13 @@
         core_(p, std::random_device{}(), op),
         state_(base_.get(), p.state_addr, kStoreConnections, respond(), kUrgentPriority),
         cloud_(base_.get(), p.cloud_addr, kCloudConnections, respond()),
-        peers_(base_.get(), p, [this](const std::string& node, std::string bytes) {
-          core_.peer(steady_ms(), node, bytes);
-          flush();
-        }, [this](const std::string& path) { return core_.page(steady_ms(), path); }),
+        peers_(
+            base_.get(), p,
+            [this](const std::string& node, std::string bytes) {
+              core_.peer(steady_ms(), node, bytes);
+              flush();
+            },
+            [this](const std::string& path) { return core_.page(steady_ms(), path); }),
         server_(base_.get(), p.client_listen, p.max_connections,
                 [this](std::uint64_t id, core::Method method, const char* path, std::string body) {
                   core_.request(steady_ms(), wall_ms(), id, method, path, body);
@@ -70,12 +75,12 @@
   }
 
   int run() {
-    tick_ = event_new(base_.get(), -1, EV_PERSIST, [](evutil_socket_t, short, void* self) {
-      static_cast<Runtime*>(self)->tick();
-    }, this);
-    replay_ = event_new(base_.get(), -1, 0, [](evutil_socket_t, short, void* self) {
-      static_cast<Runtime*>(self)->replay();
-    }, this);
+    tick_ = event_new(
+        base_.get(), -1, EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<Runtime*>(self)->tick(); }, this);
+    replay_ = event_new(
+        base_.get(), -1, 0,
+        [](evutil_socket_t, short, void* self) { static_cast<Runtime*>(self)->replay(); }, this);
     event_priority_set(tick_, kUrgentPriority);
     const timeval every{0, kTickMs * 1000};
     event_add(tick_, &every);
@@ -106,15 +111,17 @@
   }
 
   // What this process gets of the processor, in the clock that slices are measured by. A clock of
-  // processor time shows at most the node's share. Where more was seen over seconds, the platform does
-  // not cap at the share, or its clock counts waiting for it too (as seen on a platform that simulates
-  // time); either way that much is there. Taken for a cap, replay got a twentieth of its part.
+  // processor time shows at most the node's share. Where more was seen over seconds, the platform
+  // does not cap at the share, or its clock counts waiting for it too (as seen on a platform that
+  // simulates time); either way that much is there. Taken for a cap, replay got a twentieth of its
+  // part.
   void watch_processor() {
     const auto now = steady_ms();
     if (now - watched_at_ < kWatchProcessorMs) return;
     const double cpu = cpu_ms();
     if (watched_at_ != 0)
-      given_ = std::clamp((cpu - watched_cpu_) / static_cast<double>(now - watched_at_), given_, 1.0);
+      given_ =
+          std::clamp((cpu - watched_cpu_) / static_cast<double>(now - watched_at_), given_, 1.0);
     watched_at_ = now;
     watched_cpu_ = cpu;
     set_step_rate();
@@ -132,7 +139,8 @@
     const auto steps = core_.replay(steady_ms(), static_cast<std::uint64_t>(step_rate_ * kSliceMs));
     const double took = std::max(cpu_ms() - before, 0.001);
     if (steps > 100) {
-      step_rate_ = 0.9 * step_rate_ + 0.1 * std::clamp(static_cast<double>(steps) / took, step_rate_ / 4, step_rate_ * 4);
+      step_rate_ = 0.9 * step_rate_ + 0.1 * std::clamp(static_cast<double>(steps) / took,
+                                                       step_rate_ / 4, step_rate_ * 4);
       set_step_rate();
     }
     flush();
@@ -163,9 +171,12 @@
 
   void call(core::HttpCall c) {
     switch (c.target) {
-      case core::Target::state: return state_.call(std::move(c));
-      case core::Target::cloud: return cloud_.call(std::move(c));
-      case core::Target::worker: break;
+      case core::Target::state:
+        return state_.call(std::move(c));
+      case core::Target::cloud:
+        return cloud_.call(std::move(c));
+      case core::Target::worker:
+        break;
     }
     for (auto it = workers_.begin(); it != workers_.end();)
       it = it->second->idle() && it->first != c.addr ? workers_.erase(it) : std::next(it);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -20,7 +20,8 @@
   return e;
 }
 
-Server::Server(event_base* base, const std::string& listen, int max_connections, OnRequest on_request)
+Server::Server(event_base* base, const std::string& listen, int max_connections,
+               OnRequest on_request)
     : on_request_(std::move(on_request)),
       most_open_(static_cast<std::size_t>(max_connections * settings::kIncomingShare)) {
   http_ = evhttp_new(base);
@@ -30,8 +31,9 @@
   evhttp_set_max_headers_size(http_, 16 * 1024);
   // Somewhat above the protocol's limit, so that a body a little too large gets a proper 400.
   evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(4 * wire::kMaxBody));
-  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-                                        EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH |
+                                        EVHTTP_REQ_OPTIONS);
   const auto e = parse_endpoint(listen);
   if (evhttp_bind_socket(http_, e.host.c_str(), e.port) != 0)
     throw std::runtime_error("can't listen on " + listen);
@@ -46,14 +48,20 @@
   auto* self = static_cast<Server*>(self_);
   core::Method method;
   switch (evhttp_request_get_command(request)) {
-    case EVHTTP_REQ_GET: method = core::Method::get; break;
-    case EVHTTP_REQ_POST: method = core::Method::post; break;
-    default: method = core::Method::del;
+    case EVHTTP_REQ_GET:
+      method = core::Method::get;
+      break;
+    case EVHTTP_REQ_POST:
+      method = core::Method::post;
+      break;
+    default:
+      method = core::Method::del;
   }
   const auto id = ++self->last_id_;
   self->open_[id] = request;
   auto* connection = evhttp_request_get_connection(request);
-  if (self->connections_.insert(connection).second) evhttp_connection_set_closecb(connection, &Server::closed, self);
+  if (self->connections_.insert(connection).second)
+    evhttp_connection_set_closecb(connection, &Server::closed, self);
   // Past the bound a connection is told so and closed; idle ones end by their time-out.
   const bool crowded = self->connections_.size() > self->most_open_;
   if (crowded) evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -20,7 +20,8 @@
 
 class Server {
  public:
-  using OnRequest = std::function<void(std::uint64_t id, core::Method, const char* path, std::string body)>;
+  using OnRequest =
+      std::function<void(std::uint64_t id, core::Method, const char* path, std::string body)>;
   Server(event_base* base, const std::string& listen, int max_connections, OnRequest on_request);
   ~Server();
   Server(const Server&) = delete;
--- a/src/portfolio/policy.cpp
+++ b/src/portfolio/policy.cpp
@@ -25,8 +25,10 @@
 double order_key(Order order, double q, double t, double n) {
   t = std::max(t, 1e-3);
   switch (order) {
-    case Order::fcfs: return q;
-    case Order::lxf: return (q + t) / t;
+    case Order::fcfs:
+      return q;
+    case Order::lxf:
+      return (q + t) / t;
     case Order::wfp3: {
       const double x = q / t;
       return x * x * x * n;
--- a/src/portfolio/policy.hpp
+++ b/src/portfolio/policy.hpp
@@ -8,7 +8,13 @@
 
 namespace hitchfront::portfolio {
 
-enum class Rent : std::uint8_t { all, balance, exec_time, maximum, xfactor };  // ODA ODB ODE ODM ODX
+enum class Rent : std::uint8_t {
+  all,
+  balance,
+  exec_time,
+  maximum,
+  xfactor
+};  // ODA ODB ODE ODM ODX
 enum class Order : std::uint8_t { fcfs, lxf, wfp3, unicef };
 enum class Choose : std::uint8_t { first_fit, best_fit, worst_fit };
 
@@ -30,8 +36,8 @@
   double ode_unit_s = 3600;
   double odx_threshold = 2;
   double horizon_s = 3600;
-  // Length of a replay's pass for each thousand machines and queued tasks: what ends within one pass is
-  // taken together. 0: each end by itself.
+  // Length of a replay's pass for each thousand machines and queued tasks: what ends within one
+  // pass is taken together. 0: each end by itself.
   double pass_s = 0;
 };
 
@@ -44,7 +50,8 @@
   double wait_s = 0, run_s = 0;
 };
 // How many machines the policy wants beyond those that are there. `free`: machines' worth of room
-// idle or booting; `rented`: all machines rented, busy ones included; `busy`: machines' worth in use.
+// idle or booting; `rented`: all machines rented, busy ones included; `busy`: machines' worth in
+// use.
 double machines_wanted(Rent rent, const std::vector<Demand>& queue, double free, double rented,
                        double busy, const Params& params);
 
--- a/src/portfolio/replay.cpp
+++ b/src/portfolio/replay.cpp
@@ -70,9 +70,10 @@
   bool operator>(const Done& o) const { return at > o.at; }
 };
 
-// What a pass costs depends on what ends in it and on the machines with room, not on the whole fleet: who
-// has room, who is idle and what each type has free are kept up to date. Time goes in passes: whatever
-// ends within one is taken together. tests/slow_replay.cpp plays the same the plain way.
+// What a pass costs depends on what ends in it and on the machines with room, not on the whole
+// fleet: who has room, who is idle and what each type has free are kept up to date. Time goes in
+// passes: whatever ends within one is taken together. tests/slow_replay.cpp plays the same the
+// plain way.
 class Replay {
  public:
   Replay(const Snapshot& s, const Policy& policy, const Params& params)
@@ -89,7 +90,8 @@
     machines_.reserve(s.machines.size() + 64);
     for (const auto& m : s.machines) add(m);
     pass_s_ = p_.pass_s * static_cast<double>(machines_.size() + tasks) / 1000;
-    for (const auto& o : offers_) cheapest_ = cheapest_ <= 0 ? o.price : std::min(cheapest_, o.price);
+    for (const auto& o : offers_)
+      cheapest_ = cheapest_ <= 0 ? o.price : std::min(cheapest_, o.price);
     if (cheapest_ <= 0) cheapest_ = 1;
     best_.assign(queue_.size(), kUnknown);
   }
@@ -146,7 +148,8 @@
     bool gone = false, open = false, idle = false;
     double share() const { return m->whole.cpus > 0 ? room.cpus / m->whole.cpus : 0; }
   };
-  // Per type, ordinary and spot: machines' worth of free room, and machines. Closed ones don't count.
+  // Per type, ordinary and spot: machines' worth of free room, and machines. Closed ones don't
+  // count.
   struct Sum {
     double free = 0, rented = 0;
   };
@@ -216,7 +219,8 @@
       ++out_.steps;
       if (left_[j] == 0) continue;
       const auto& job = queue_[j];
-      if (best_[j] == kUnknown || (best_[j] >= 0 && offers_[static_cast<std::size_t>(best_[j])].room == 0)) {
+      if (best_[j] == kUnknown ||
+          (best_[j] >= 0 && offers_[static_cast<std::size_t>(best_[j])].room == 0)) {
         best_[j] = best_offer(job, offers_);
         out_.steps += offers_.size();
       }
@@ -240,10 +244,11 @@
         free += sums_[at].free;
         rented += sums_[at].rented;
       }
-      // What is owed by a guarantee is not the policy's to save on: no replay sees the jobs yet to come,
-      // and to each of them the fleet's present work seems to make room in time.
+      // What is owed by a guarantee is not the policy's to save on: no replay sees the jobs yet to
+      // come, and to each of them the fleet's present work seems to make room in time.
       const double want =
-          std::max(machines_wanted(policy_.rent, demands_[i], free, rented, rented - free, p_), owed_[i] - free);
+          std::max(machines_wanted(policy_.rent, demands_[i], free, rented, rented - free, p_),
+                   owed_[i] - free);
       auto n = static_cast<std::uint32_t>(std::max(0.0, std::ceil(want - 1e-6)));
       n = std::min(n, o.room);
       o.room -= n;
@@ -257,16 +262,19 @@
   std::uint32_t allowed(const SimJob& job, std::uint32_t n) const {
     const auto& t = teams_[static_cast<std::size_t>(job.team)];
     if (job.size.cpus > 0)
-      n = static_cast<std::uint32_t>(std::clamp((t.cpus_max - t.used_cpus) / job.size.cpus + 1e-9, 0.0, static_cast<double>(n)));
+      n = static_cast<std::uint32_t>(std::clamp((t.cpus_max - t.used_cpus) / job.size.cpus + 1e-9,
+                                                0.0, static_cast<double>(n)));
     if (job.size.gpus > 0)
-      n = static_cast<std::uint32_t>(std::clamp((t.gpus_max - t.used_gpus) / job.size.gpus + 1e-9, 0.0, static_cast<double>(n)));
+      n = static_cast<std::uint32_t>(std::clamp((t.gpus_max - t.used_gpus) / job.size.gpus + 1e-9,
+                                                0.0, static_cast<double>(n)));
     return n;
   }
 
   void place(double now) {
     for (; !ups_.empty() && ups_.top().first <= now + 1e-9; ups_.pop())
       open(machines_[ups_.top().second], ups_.top().second);
-    std::erase_if(open_, [this](std::uint32_t i) { return !(machines_[i].open = !machines_[i].gone); });
+    std::erase_if(open_,
+                  [this](std::uint32_t i) { return !(machines_[i].open = !machines_[i].gone); });
     if (unplaced_ == 0 || open_.empty()) return;
     // First fit goes by the machines' own order.
     if (policy_.choose == Choose::first_fit) std::sort(open_.begin(), open_.end());
@@ -310,7 +318,8 @@
       const double sign = policy_.choose == Choose::best_fit ? 1 : -1;
       for (const auto i : open_)
         if (suits(machines_[i]))
-          ranked_.push_back({sign * left_after(now - machines_[i].born, job.run_s, p_.charge_unit_s), i});
+          ranked_.push_back(
+              {sign * left_after(now - machines_[i].born, job.run_s, p_.charge_unit_s), i});
       out_.steps += ranked_.size();
       std::make_heap(ranked_.begin(), ranked_.end(), std::greater<>());
       while (!ranked_.empty()) {
@@ -320,7 +329,9 @@
         if (!take(i)) break;
       }
     }
-    std::erase_if(open_, [this](std::uint32_t i) { return !(machines_[i].open = least_.fits(machines_[i].room)); });
+    std::erase_if(open_, [this](std::uint32_t i) {
+      return !(machines_[i].open = least_.fits(machines_[i].room));
+    });
   }
 
   void start(std::size_t j, M& m, std::uint32_t index, std::uint32_t n, double now) {
--- a/src/portfolio/replay.hpp
+++ b/src/portfolio/replay.hpp
@@ -31,7 +31,7 @@
   int type = 0, zone = 0;
   bool spot = false;
   Size size;
-  double price = 0;     // per hour, current
+  double price = 0;  // per hour, current
   double boot_s = 0;
   double fetch_gb_per_s = 1;
   std::uint32_t room = 0;  // machines thought available; 0 after "no capacity"
@@ -63,8 +63,8 @@
   int team = 0, priority = 0, image = 0;
   double image_gb = 0;
   bool spot = false;
-  bool owed = false;  // within its team's guarantee: rented for whatever the policy says
-  bool aged = false;  // it has begun nothing for long: the same for one task
+  bool owed = false;            // within its team's guarantee: rented for whatever the policy says
+  bool aged = false;            // it has begun nothing for long: the same for one task
   std::uint64_t types = ~0ULL;  // bit per type
   int zone = -1;                // only allowed zone, or -1
   bool allows(int type, int z, bool is_spot) const {
--- a/src/portfolio/selector.cpp
+++ b/src/portfolio/selector.cpp
@@ -17,7 +17,8 @@
   snapshot_ = std::move(snapshot);
   params_ = params;
   scored_.clear();
-  const double n = static_cast<double>(std::max<std::size_t>(smart_.size() + stale_.size() + poor_.size(), 1));
+  const double n =
+      static_cast<double>(std::max<std::size_t>(smart_.size() + stale_.size() + poor_.size(), 1));
   budget_[0] = static_cast<double>(smart_.size()) / n * budget;
   budget_[1] = static_cast<double>(stale_.size()) / n * budget;
   budget_[2] = budget - budget_[0] - budget_[1];
@@ -66,8 +67,8 @@
   smart_.clear();
   std::stable_sort(scored_.begin(), scored_.end(),
                    [](const Scored& a, const Scored& b) { return a.utility > b.utility; });
-  const auto top = static_cast<std::size_t>(
-      std::ceil(lambda_ * static_cast<double>(scored_.size()) - 1e-9));
+  const auto top =
+      static_cast<std::size_t>(std::ceil(lambda_ * static_cast<double>(scored_.size()) - 1e-9));
   for (std::size_t i = 0; i < scored_.size(); ++i) {
     if (i < top)
       smart_.push_back(scored_[i].policy);
--- a/src/portfolio/selector.hpp
+++ b/src/portfolio/selector.hpp
@@ -14,7 +14,8 @@
 class Selector {
  public:
   // `admitted`: by policy, in the order of all_policies(); empty: all.
-  explicit Selector(std::uint64_t seed, double lambda = 0.6, const std::vector<bool>& admitted = {});
+  explicit Selector(std::uint64_t seed, double lambda = 0.6,
+                    const std::vector<bool>& admitted = {});
   void set_lambda(double lambda) { lambda_ = lambda; }
 
   // Starts a selection over a snapshot with a budget in steps.
--- a/src/rebuild/copy.cpp
+++ b/src/rebuild/copy.cpp
@@ -15,7 +15,8 @@
   u.withdrawn = u.withdrawn || withdrawn;
   if (withdrawn && on_withdrawn) on_withdrawn(job);
   u.mark = std::max(u.mark, mark);
-  // Which of two texts is kept matters for display only: the description never changes, and what does is joined above.
+  // Which of two texts is kept matters for display only: the description never changes, and what
+  // does is joined above.
   if (u.record.empty() || record > u.record) u.record = std::move(record);
 }
 
@@ -63,7 +64,8 @@
 std::vector<std::string> Copy::encode(std::size_t part_most) const {
   std::vector<std::string> parts(1);
   const auto put = [&](const std::string& entry) {
-    if (!parts.back().empty() && parts.back().size() + entry.size() > part_most) parts.emplace_back();
+    if (!parts.back().empty() && parts.back().size() + entry.size() > part_most)
+      parts.emplace_back();
     parts.back() += entry;
   };
   for (const auto& [job, u] : unfinished_) {
@@ -128,7 +130,8 @@
   for (const auto& [job, u] : other.unfinished_) {
     if (!u.record.empty()) live(job, u.record, u.withdrawn, u.mark);
     if (finals_.contains(job)) continue;
-    for (const auto& [chunk, texts] : u.progress) unfinished_[job].progress[chunk].insert(texts.begin(), texts.end());
+    for (const auto& [chunk, texts] : u.progress)
+      unfinished_[job].progress[chunk].insert(texts.begin(), texts.end());
   }
 }
 
--- a/src/rebuild/copy.hpp
+++ b/src/rebuild/copy.hpp
@@ -1,7 +1,8 @@
-// A controller's copy of the stored state: what was accepted, cancelled, completed and ended, as far as this node has
-// read it or told it to users. After the state service has lost data the copies of all controllers that can be reached,
-// and what the store still holds, are joined. The join takes the most of each: over beats unfinished, cancelled and done
-// tasks stay so; it does not matter in which order, how often, or in how many parts. Pure.
+// A controller's copy of the stored state: what was accepted, cancelled, completed and ended, as
+// far as this node has read it or told it to users. After the state service has lost data the
+// copies of all controllers that can be reached, and what the store still holds, are joined. The
+// join takes the most of each: over beats unfinished, cancelled and done tasks stay so; it does not
+// matter in which order, how often, or in how many parts. Pure.
 #pragma once
 #include <cstdint>
 #include <deque>
@@ -21,24 +22,27 @@
   std::string record;  // live/<job> as JSON text
   bool withdrawn = false;
   std::uint32_t mark = 0;  // tasks from here on were never launched
-  // prog/<job>/<chunk>: what stood there, one text for each copy that differs; done is what any of them says.
+  // prog/<job>/<chunk>: what stood there, one text for each copy that differs; done is what any of
+  // them says.
   std::map<std::uint32_t, std::set<std::string>> progress;
 };
 
 class Copy {
  public:
-  // `finals_most`: final states kept; the oldest are dropped first, and then a job that ended long ago may be unknown
-  // after a loss.
+  // `finals_most`: final states kept; the oldest are dropped first, and then a job that ended long
+  // ago may be unknown after a loss.
   explicit Copy(std::size_t finals_most) : finals_most_(finals_most) {}
 
   // A job is known to be cancelled, and not over; or to be over. Told each time that it is learnt.
-  std::function<void(const std::string& job)> on_withdrawn, on_over;
+  std::function<void(const std::string&job)> on_withdrawn, on_over;
   void live(const std::string& job, std::string record, bool withdrawn, std::uint32_t mark);
   // A newer value of the same store has all that the one before had, and takes its place.
   void progress(const std::string& job, std::uint32_t chunk, std::string text);
   void over(const std::string& job, const wire::OverRecord& record);
   // Accepted, as far as is known here.
-  bool knows(const std::string& job) const { return unfinished_.contains(job) || finals_.contains(job); }
+  bool knows(const std::string& job) const {
+    return unfinished_.contains(job) || finals_.contains(job);
+  }
   std::optional<wire::OverRecord> final_of(const std::string& job) const;
   bool is_withdrawn(const std::string& job) const;
 
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -6,27 +6,42 @@
 
 const std::vector<Feature>& features() {
   static const std::vector<Feature> table = {
-      {"progress in runs", 2, "prog/<job>/<chunk>", "a bitmap in hex", "runs in varints, base64 coded", true},
-      {"identity of the stored state", 3, "level", "none", "lineage and generation, by which a loss is rebuilt once", true},
-      {"machine types where versions from before levels don't look", 4, "flavors, rigs", "the types under `flavors`", "the types under `rigs`, an empty list under `flavors`", true},
-      {"jobs that await others", 5, "live/<job>", "no `Awaits`", "`Awaits` in the description; refused with 503 below this level", true},
-      {"progress in the shortest form", 5, "prog/<job>/<chunk>", "runs in varints, base64 coded", "the same, or the bits, base64 coded, where that is shorter", true},
+      {"progress in runs", 2, "prog/<job>/<chunk>", "a bitmap in hex",
+       "runs in varints, base64 coded", true},
+      {"identity of the stored state", 3, "level", "none",
+       "lineage and generation, by which a loss is rebuilt once", true},
+      {"machine types where versions from before levels don't look", 4, "flavors, rigs",
+       "the types under `flavors`", "the types under `rigs`, an empty list under `flavors`", true},
+      {"jobs that await others", 5, "live/<job>", "no `Awaits`",
+       "`Awaits` in the description; refused with 503 below this level", true},
+      {"progress in the shortest form", 5, "prog/<job>/<chunk>", "runs in varints, base64 coded",
+       "the same, or the bits, base64 coded, where that is shorter", true},
   };
   return table;
 }
 
 const char* word(Hold hold) {
   switch (hold) {
-    case Hold::none: return "nothing";
-    case Hold::operators: return "operators";
-    case Hold::for_good: return "for_good";
-    case Hold::settling: return "settling";
-    case Hold::settings: return "settings";
-    case Hold::silent: return "silent";
-    case Hold::mute: return "mute";
-    case Hold::absent: return "absent";
-    case Hold::restarted: return "restarted";
-    case Hold::old: return "old";
+    case Hold::none:
+      return "nothing";
+    case Hold::operators:
+      return "operators";
+    case Hold::for_good:
+      return "for_good";
+    case Hold::settling:
+      return "settling";
+    case Hold::settings:
+      return "settings";
+    case Hold::silent:
+      return "silent";
+    case Hold::mute:
+      return "mute";
+    case Hold::absent:
+      return "absent";
+    case Hold::restarted:
+      return "restarted";
+    case Hold::old:
+      return "old";
   }
   return "";
 }
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -1,6 +1,7 @@
-// When the controllers, replaced one by one, may store something in a new form: a table of what each level brings, and
-// the rule by which the leader goes from one level to the next. Pure; docs/rollout.md has the ways weighed, and
-// docs/safety.md, "Levels of the stored state", the argument.
+// When the controllers, replaced one by one, may store something in a new form: a table of what
+// each level brings, and the rule by which the leader goes from one level to the next. Pure;
+// docs/rollout.md has the ways weighed, and docs/safety.md, "Levels of the stored state", the
+// argument.
 #pragma once
 #include <cstdint>
 #include <optional>
@@ -27,8 +28,8 @@
 
 inline constexpr std::uint32_t kNewest = 5;  // the highest level that this program knows
 
-// What this process can read and write. `announces` is false for versions from before levels, which say nothing and
-// heed none.
+// What this process can read and write. `announces` is false for versions from before levels, which
+// say nothing and heed none.
 struct Support {
   std::uint32_t from = 1, to = kNewest;
   bool announces = true;
@@ -48,16 +49,19 @@
 };
 const char* word(Hold hold);
 
-// What the leader should bring the store to next; nothing where it is as wanted, or `why` it can't be.
+// What the leader should bring the store to next; nothing where it is as wanted, or `why` it can't
+// be.
 struct Step {
   std::optional<wire::Level> next;
   Hold why = Hold::none;
 };
-// `most`: the operators' limit. One level at a time, and the next only when all values are of the active form.
+// `most`: the operators' limit. One level at a time, and the next only when all values are of the
+// active form.
 Step next_step(const wire::Level& now, std::uint32_t most, const Support& mine);
 
-// Who holds `next` back, and why. A cheap look by the signs of life alone, before the store is asked;
-// with `stored`, by what stands there as well. The conditions of the switch are then every member's stamp.
+// Who holds `next` back, and why. A cheap look by the signs of life alone, before the store is
+// asked; with `stored`, by what stands there as well. The conditions of the switch are then every
+// member's stamp.
 struct Held {
   Hold why = Hold::none;
   std::string member;
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -10,14 +10,16 @@
   c.version = version;
   for (const auto& m : machines)
     if (where_.emplace(m, chunk).second) c.machines.insert(m);
-  // Left by a division that this life knows nothing of, or by a roster that is not believed: dropped in time.
+  // Left by a division that this life knows nothing of, or by a roster that is not believed:
+  // dropped in time.
   if (c.machines.empty()) c.due = 1;
 }
 
 // A chunk that is far from full, or a new one.
 std::uint32_t Roster::room() {
   for (const auto& [number, c] : chunks_)
-    if (c.size <= limits_.chunk_most / 2 && c.machines.size() < 2 * limits_.chunk_most / 100) return number;
+    if (c.size <= limits_.chunk_most / 2 && c.machines.size() < 2 * limits_.chunk_most / 100)
+      return number;
   return chunks_.empty() ? 0 : chunks_.rbegin()->first + 1;
 }
 
@@ -66,11 +68,14 @@
 }
 
 bool Roster::stored_since(std::uint64_t batch) const {
-  return std::all_of(chunks_.begin(), chunks_.end(), [batch](const auto& c) { return c.second.machines.empty() || c.second.batch > batch; });
+  return std::all_of(chunks_.begin(), chunks_.end(), [batch](const auto& c) {
+    return c.second.machines.empty() || c.second.batch > batch;
+  });
 }
 
-// A chunk that has grown too large is divided. The new half is stored first; until it is, the old value, which has all
-// the machines, stays: written the other way round, half of them would be nowhere for a while.
+// A chunk that has grown too large is divided. The new half is stored first; until it is, the old
+// value, which has all the machines, stays: written the other way round, half of them would be
+// nowhere for a while.
 void Roster::put(std::uint32_t number, Batch& batch, std::size_t& size, const Encode& encode) {
   auto& c = chunks_[number];
   std::string value = c.machines.empty() ? std::string() : encode(c.machines, batch.number);
@@ -106,8 +111,9 @@
 
 std::optional<Roster::Batch> Roster::next(Ms now, const Encode& encode) {
   if (now < next_at_) return std::nullopt;
-  // What launches wait for goes first, and of that what has waited longest: by their numbers, the last of thirty chunks of which
-  // twelve fit a transaction were not written for as long as launches came for the first.
+  // What launches wait for goes first, and of that what has waited longest: by their numbers, the
+  // last of thirty chunks of which twelve fit a transaction were not written for as long as
+  // launches came for the first.
   std::vector<std::tuple<bool, Ms, std::uint32_t>> open;
   for (auto& [number, c] : chunks_)
     if (c.due != 0 && c.due <= now && may_write(c)) open.emplace_back(!c.needed, c.due, number);
@@ -118,10 +124,13 @@
   std::size_t size = 0;
   for (const auto& [later, due, number] : open) {
     const auto n = batch.writes.size();
-    if (n > 0 && (static_cast<int>(n) >= limits_.changes_most || size + limits_.chunk_most > limits_.batch_most)) break;
+    if (n > 0 && (static_cast<int>(n) >= limits_.changes_most ||
+                  size + limits_.chunk_most > limits_.batch_most))
+      break;
     put(number, batch, size, encode);
   }
-  next_at_ = now + static_cast<Ms>(static_cast<double>(batch.writes.size()) * 1000 / limits_.writes_per_s);
+  next_at_ =
+      now + static_cast<Ms>(static_cast<double>(batch.writes.size()) * 1000 / limits_.writes_per_s);
   return batch;
 }
 
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -1,6 +1,7 @@
-// The roster: which tasks may be on which machine, stored before the first of them is launched there, so that a new
-// leader knows its fleet from the store alone. This class knows which part of it stands where in the store, what has
-// changed since, and when a part is written next; what a machine holds is its user's to say. Pure: time comes in.
+// The roster: which tasks may be on which machine, stored before the first of them is launched
+// there, so that a new leader knows its fleet from the store alone. This class knows which part of
+// it stands where in the store, what has changed since, and when a part is written next; what a
+// machine holds is its user's to say. Pure: time comes in.
 #pragma once
 #include <cstddef>
 #include <cstdint>
@@ -34,9 +35,9 @@
   void load(std::uint32_t chunk, std::uint64_t version, const Names& machines);
 
   void add(Ms now, const std::string& machine);
-  void remove(Ms now, const std::string& machine);  // proved to hold nothing
-  void changed(Ms now, const std::string& machine); // to be stored soon
-  void needed(Ms now, const std::string& machine);  // a launch waits for it
+  void remove(Ms now, const std::string& machine);   // proved to hold nothing
+  void changed(Ms now, const std::string& machine);  // to be stored soon
+  void needed(Ms now, const std::string& machine);   // a launch waits for it
   void all_changed(Ms now);
 
   struct Write {
@@ -50,7 +51,8 @@
   };
   // The value of these machines as they are now.
   using Encode = std::function<std::string(const Names& machines, std::uint64_t batch)>;
-  // What is to be written now, in one transaction: all or nothing. A chunk is in one batch at a time.
+  // What is to be written now, in one transaction: all or nothing. A chunk is in one batch at a
+  // time.
   std::optional<Batch> next(Ms now, const Encode& encode);
   void stored(const Batch& batch, std::uint64_t revision);
   // Refused, or nobody knows: each chunk has to be read again before it is written next.
@@ -70,7 +72,8 @@
     std::size_t size = 0;     // of its last value
     Ms due = 0;               // 0: as stored
     bool needed = false, in_flight = false;
-    std::optional<std::uint32_t> after;  // the chunk that half of it went to, until that one is stored
+    std::optional<std::uint32_t>
+        after;  // the chunk that half of it went to, until that one is stored
   };
   std::uint32_t room();
   bool may_write(Chunk& c);
--- a/src/settings/expression.cpp
+++ b/src/settings/expression.cpp
@@ -12,8 +12,9 @@
 namespace hitchfront::settings {
 namespace {
 
-constexpr std::size_t kLongest = 1000;  // bytes of an expression; bounds the parser's depth and the evaluation
-constexpr std::size_t kDeepest = 40;    // open parentheses and the like
+constexpr std::size_t kLongest =
+    1000;  // bytes of an expression; bounds the parser's depth and the evaluation
+constexpr std::size_t kDeepest = 40;  // open parentheses and the like
 
 namespace grammar {
 using namespace tao::pegtl;  // the grammar reads as PEGTL's documentation writes it
@@ -22,11 +23,13 @@
 struct word : seq<string<C...>, not_at<identifier_other>, ws> {};
 struct digits : plus<digit> {};
 struct number : seq<digits, opt<one<'.'>, digits>> {};
-struct unit : seq<sor<string<'m', 's'>, string<'m', 'i', 'n'>, one<'s'>, one<'h'>, one<'%'>>, not_at<identifier_other>> {};
+struct unit : seq<sor<string<'m', 's'>, string<'m', 'i', 'n'>, one<'s'>, one<'h'>, one<'%'>>,
+                  not_at<identifier_other>> {};
 struct literal : seq<number, ws, opt<unit, ws>> {};
 struct yes : word<'t', 'r', 'u', 'e'> {};
 struct no : word<'f', 'a', 'l', 's', 'e'> {};
-struct reserved : sor<word<'i', 'f'>, word<'t', 'h', 'e', 'n'>, word<'e', 'l', 's', 'e'>, word<'a', 'n', 'd'>, word<'o', 'r'>, word<'n', 'o', 't'>> {};
+struct reserved : sor<word<'i', 'f'>, word<'t', 'h', 'e', 'n'>, word<'e', 'l', 's', 'e'>,
+                      word<'a', 'n', 'd'>, word<'o', 'r'>, word<'n', 'o', 't'>> {};
 struct variable : seq<not_at<reserved>, identifier> {};
 struct expression;
 struct open : seq<one<'('>, ws> {};
@@ -34,7 +37,8 @@
 struct function : sor<string<'m', 'i', 'n'>, string<'m', 'a', 'x'>> {};
 struct call : seq<function, ws, open, must<expression, one<','>, ws, expression, close>> {};
 struct group : if_must<open, expression, close> {};
-struct conditional : if_must<word<'i', 'f'>, expression, word<'t', 'h', 'e', 'n'>, expression, word<'e', 'l', 's', 'e'>, expression> {};
+struct conditional : if_must<word<'i', 'f'>, expression, word<'t', 'h', 'e', 'n'>, expression,
+                             word<'e', 'l', 's', 'e'>, expression> {};
 struct atom : sor<literal, yes, no, conditional, call, seq<variable, ws>, group> {};
 struct minus : if_must<seq<one<'-'>, ws>, atom> {};
 struct factor : sor<minus, atom> {};
@@ -42,7 +46,8 @@
 struct product : seq<factor, star<if_must<seq<mul_op, ws>, factor>>> {};
 struct add_op : one<'+', '-'> {};
 struct sum : seq<product, star<if_must<seq<add_op, ws>, product>>> {};
-struct compare_op : sor<string<'<', '='>, string<'>', '='>, string<'=', '='>, string<'!', '='>, one<'<', '>'>> {};
+struct compare_op
+    : sor<string<'<', '='>, string<'>', '='>, string<'=', '='>, string<'!', '='>, one<'<', '>'>> {};
 struct comparison : seq<sum, opt<if_must<seq<compare_op, ws>, sum>>> {};
 struct negation;
 struct inverted : if_must<word<'n', 'o', 't'>, negation> {};
@@ -52,10 +57,13 @@
 struct whole : must<ws, expression, eof> {};
 
 template <class Rule>
-using selector = parse_tree::selector<
-    Rule, parse_tree::store_content::on<number, unit, yes, no, variable, function, mul_op, add_op, compare_op>,
-    parse_tree::remove_content::on<literal, call, conditional, minus, inverted, conjunction, expression>,
-    parse_tree::fold_one::on<product, sum, comparison>>;
+using selector =
+    parse_tree::selector<Rule,
+                         parse_tree::store_content::on<number, unit, yes, no, variable, function,
+                                                       mul_op, add_op, compare_op>,
+                         parse_tree::remove_content::on<literal, call, conditional, minus, inverted,
+                                                        conjunction, expression>,
+                         parse_tree::fold_one::on<product, sum, comparison>>;
 }  // namespace grammar
 
 using Tree = tao::pegtl::parse_tree::node;
@@ -64,7 +72,8 @@
 
 class Checker {
  public:
-  Checker(std::size_t line, std::size_t column, const std::vector<InputName>& inputs, std::vector<Problem>& problems)
+  Checker(std::size_t line, std::size_t column, const std::vector<InputName>& inputs,
+          std::vector<Problem>& problems)
       : line_(line), column_(column), inputs_(inputs), problems_(problems) {}
 
   Node convert(const Tree& t) {
@@ -79,7 +88,8 @@
     if (t.is_type<minus>()) return unary(Op::negate, t, false);
     if (t.is_type<inverted>()) return unary(Op::invert, t, true);
     if (t.is_type<call>())
-      return binary(t.children[0]->string() == "min" ? Op::least : Op::most, convert(*t.children[1]), convert(*t.children[2]));
+      return binary(t.children[0]->string() == "min" ? Op::least : Op::most,
+                    convert(*t.children[1]), convert(*t.children[2]));
     if (t.is_type<conditional>()) {
       Node n{Op::choose, Type::number, 0, 0, at(t), {}};
       for (const auto& c : t.children) n.children.push_back(convert(*c));
@@ -91,22 +101,25 @@
     if (t.is_type<conjunction>() || t.is_type<grammar::expression>()) {
       Node n = convert(*t.children[0]);
       for (std::size_t i = 1; i < t.children.size(); ++i)
-        n = binary(t.is_type<conjunction>() ? Op::both : Op::either, std::move(n), convert(*t.children[i]));
+        n = binary(t.is_type<conjunction>() ? Op::both : Op::either, std::move(n),
+                   convert(*t.children[i]));
       return n;
     }
     // Sums, products and comparisons: operand, operator, operand, ...
     Node n = convert(*t.children[0]);
     for (std::size_t i = 1; i + 1 < t.children.size(); i += 2) {
-      static const std::map<std::string, Op> ops = {{"+", Op::add}, {"-", Op::sub}, {"*", Op::mul}, {"/", Op::div},
-                                                    {"<", Op::less}, {"<=", Op::less_equal}, {">", Op::more},
-                                                    {">=", Op::more_equal}, {"==", Op::equal}, {"!=", Op::unequal}};
+      static const std::map<std::string, Op> ops = {
+          {"+", Op::add},    {"-", Op::sub},         {"*", Op::mul},  {"/", Op::div},
+          {"<", Op::less},   {"<=", Op::less_equal}, {">", Op::more}, {">=", Op::more_equal},
+          {"==", Op::equal}, {"!=", Op::unequal}};
       n = binary(ops.at(t.children[i]->string()), std::move(n), convert(*t.children[i + 1]));
     }
     return n;
   }
 
   void need(const Node& n, Type type) {
-    if (n.type != type) problem(n.column, std::string("a ") + name(n.type), std::string("a ") + name(type));
+    if (n.type != type)
+      problem(n.column, std::string("a ") + name(n.type), std::string("a ") + name(type));
   }
   void problem(std::size_t column, std::string found, std::string expected) {
     problems_.push_back({line_, column_ + column, std::move(found), std::move(expected)});
@@ -160,14 +173,16 @@
         if (a.type == Type::boolean) need(a, Type::number);
         if (b.type == Type::boolean) need(b, Type::number);
         if (op == Op::mul) {
-          if (a.type == Type::seconds && b.type == Type::seconds) problem(b.column, "a time times a time", "a number on one side");
+          if (a.type == Type::seconds && b.type == Type::seconds)
+            problem(b.column, "a time times a time", "a number on one side");
           if (b.type == Type::seconds) n.type = Type::seconds;
         } else {
           if (b.type == Type::seconds) {
             need(a, Type::seconds);
             n.type = Type::number;
           }
-          if (b.constant() && b.evaluate({}) == 0) problem(b.column, "a division by zero", "a divisor that is not zero");
+          if (b.constant() && b.evaluate({}) == 0)
+            problem(b.column, "a division by zero", "a divisor that is not zero");
         }
         break;
       case Op::add:
@@ -210,11 +225,13 @@
     {"direct", Type::boolean, 0, 1, 1},
     {"level_most", Type::number, 1, 1000, 1000},
 };
-const std::vector<InputName> kState = {{"queue_jobs", Type::number}, {"queue_tasks", Type::number}, {"machines", Type::number}};
-const std::vector<InputName> kParts = {{"ODA", Type::boolean}, {"ODB", Type::boolean},  {"ODE", Type::boolean},
-                                       {"ODM", Type::boolean}, {"ODX", Type::boolean},  {"FCFS", Type::boolean},
-                                       {"LXF", Type::boolean}, {"WFP3", Type::boolean}, {"UNICEF", Type::boolean},
-                                       {"FF", Type::boolean},  {"BF", Type::boolean},   {"WF", Type::boolean}};
+const std::vector<InputName> kState = {
+    {"queue_jobs", Type::number}, {"queue_tasks", Type::number}, {"machines", Type::number}};
+const std::vector<InputName> kParts = {
+    {"ODA", Type::boolean}, {"ODB", Type::boolean},  {"ODE", Type::boolean},
+    {"ODM", Type::boolean}, {"ODX", Type::boolean},  {"FCFS", Type::boolean},
+    {"LXF", Type::boolean}, {"WFP3", Type::boolean}, {"UNICEF", Type::boolean},
+    {"FF", Type::boolean},  {"BF", Type::boolean},   {"WF", Type::boolean}};
 
 const Setting* find_setting(std::string_view name) {
   for (const auto& s : kSettings)
@@ -229,35 +246,56 @@
 }
 
 std::string Problem::text(const std::string& file) const {
-  return file + ":" + std::to_string(line) + ":" + std::to_string(column) + ": found " + found + ", expected " + expected;
+  return file + ":" + std::to_string(line) + ":" + std::to_string(column) + ": found " + found +
+         ", expected " + expected;
 }
 
 bool Expression::Node::constant() const {
-  return op != Op::input && std::all_of(children.begin(), children.end(), [](const Node& c) { return c.constant(); });
+  return op != Op::input &&
+         std::all_of(children.begin(), children.end(), [](const Node& c) { return c.constant(); });
 }
 
 double Expression::Node::evaluate(const Inputs& in) const {
   const auto v = [&](std::size_t i) { return children[i].evaluate(in); };
   switch (op) {
-    case Op::value: return value;
-    case Op::input: return input < in.size() ? in[input] : 0;
-    case Op::negate: return -v(0);
-    case Op::invert: return v(0) == 0 ? 1 : 0;
-    case Op::add: return v(0) + v(1);
-    case Op::sub: return v(0) - v(1);
-    case Op::mul: return v(0) * v(1);
-    case Op::div: return v(0) / v(1);
-    case Op::less: return v(0) < v(1);
-    case Op::less_equal: return v(0) <= v(1);
-    case Op::more: return v(0) > v(1);
-    case Op::more_equal: return v(0) >= v(1);
-    case Op::equal: return v(0) == v(1);
-    case Op::unequal: return v(0) != v(1);
-    case Op::both: return v(0) != 0 && v(1) != 0;
-    case Op::either: return v(0) != 0 || v(1) != 0;
-    case Op::choose: return v(0) != 0 ? v(1) : v(2);
-    case Op::least: return std::min(v(0), v(1));
-    case Op::most: return std::max(v(0), v(1));
+    case Op::value:
+      return value;
+    case Op::input:
+      return input < in.size() ? in[input] : 0;
+    case Op::negate:
+      return -v(0);
+    case Op::invert:
+      return v(0) == 0 ? 1 : 0;
+    case Op::add:
+      return v(0) + v(1);
+    case Op::sub:
+      return v(0) - v(1);
+    case Op::mul:
+      return v(0) * v(1);
+    case Op::div:
+      return v(0) / v(1);
+    case Op::less:
+      return v(0) < v(1);
+    case Op::less_equal:
+      return v(0) <= v(1);
+    case Op::more:
+      return v(0) > v(1);
+    case Op::more_equal:
+      return v(0) >= v(1);
+    case Op::equal:
+      return v(0) == v(1);
+    case Op::unequal:
+      return v(0) != v(1);
+    case Op::both:
+      return v(0) != 0 && v(1) != 0;
+    case Op::either:
+      return v(0) != 0 || v(1) != 0;
+    case Op::choose:
+      return v(0) != 0 ? v(1) : v(2);
+    case Op::least:
+      return std::min(v(0), v(1));
+    case Op::most:
+      return std::max(v(0), v(1));
   }
   return 0;
 }
@@ -267,14 +305,16 @@
   return std::isfinite(v) ? v : 0;
 }
 
-bool compile(std::string_view text, std::size_t line, std::size_t column, const std::vector<InputName>& inputs,
-             Expression& out, std::vector<Problem>& problems) {
+bool compile(std::string_view text, std::size_t line, std::size_t column,
+             const std::vector<InputName>& inputs, Expression& out,
+             std::vector<Problem>& problems) {
   const auto before = problems.size();
   std::size_t deep = 0;
   for (std::size_t i = 0; i < text.size(); ++i)
     if (text[i] == '(' || text.substr(i, 2) == "if" || text.substr(i, 3) == "not") ++deep;
   if (text.size() > kLongest || deep > kDeepest) {
-    problems.push_back({line, column, "an expression too long or too deep", "at most 1000 bytes and 40 levels"});
+    problems.push_back(
+        {line, column, "an expression too long or too deep", "at most 1000 bytes and 40 levels"});
     return false;
   }
   tao::pegtl::memory_input in(text.data(), text.size(), "");
@@ -286,8 +326,11 @@
     const auto at = e.positions().front().column - 1;
     std::size_t end = at;
     while (end < text.size() && std::isspace(static_cast<unsigned char>(text[end])) == 0) ++end;
-    problems.push_back({line, column + at, at >= text.size() ? "the end of the line" : "'" + std::string(text.substr(at, end - at)) + "'",
-                        at >= text.size() ? "a value" : "a value, an operator or the end of the line"});
+    problems.push_back(
+        {line, column + at,
+         at >= text.size() ? "the end of the line"
+                           : "'" + std::string(text.substr(at, end - at)) + "'",
+         at >= text.size() ? "a value" : "a value, an operator or the end of the line"});
   }
   return problems.size() == before;
 }
@@ -306,7 +349,8 @@
     if (first == std::string_view::npos) continue;
     const auto equals = line.find('=');
     const auto name_end = line.find_first_of(" \t=", first);
-    const std::string key(line.substr(first, name_end == std::string_view::npos ? name_end : name_end - first));
+    const std::string key(
+        line.substr(first, name_end == std::string_view::npos ? name_end : name_end - first));
     const auto* setting = find_setting(key);
     if (setting == nullptr) {
       std::string known;
@@ -315,7 +359,8 @@
       continue;
     }
     if (equals == std::string_view::npos) {
-      out.problems.push_back({number, line.size() + 1, "the end of the line", "= and an expression"});
+      out.problems.push_back(
+          {number, line.size() + 1, "the end of the line", "= and an expression"});
       continue;
     }
     if (out.settings.values.contains(key)) {
@@ -327,11 +372,13 @@
     const auto& inputs = k == "admit" ? kParts : kState;
     if (!compile(line.substr(equals + 1), number, equals + 2, inputs, e, out.problems)) continue;
     if (e.type() != setting->type) {
-      out.problems.push_back({number, equals + 2, std::string("a ") + name(e.type()), std::string("a ") + name(setting->type)});
+      out.problems.push_back({number, equals + 2, std::string("a ") + name(e.type()),
+                              std::string("a ") + name(setting->type)});
       continue;
     }
     if ((k == "roster" || k == "direct" || k == "level_most") && !e.constant()) {
-      out.problems.push_back({number, equals + 2, "an expression with inputs", "a value without inputs: it is asked once, at the start"});
+      out.problems.push_back({number, equals + 2, "an expression with inputs",
+                              "a value without inputs: it is asked once, at the start"});
       continue;
     }
     if (e.constant()) {
@@ -350,7 +397,8 @@
   for (const char* r : {"ODA", "ODB", "ODE", "ODM", "ODX"})
     for (const char* o : {"FCFS", "LXF", "WFP3", "UNICEF"})
       for (const char* c : {"FF", "BF", "WF"}) any = any || out.settings.admits(r, o, c);
-  if (!any) out.problems.push_back({1, 1, "admit that leaves no policy", "at least one policy admitted"});
+  if (!any)
+    out.problems.push_back({1, 1, "admit that leaves no policy", "at least one policy admitted"});
   return out;
 }
 
@@ -370,11 +418,13 @@
   return std::clamp(it->second.evaluate(inputs), s->least, s->most);
 }
 
-bool Operator::admits(const std::string& rent, const std::string& order, const std::string& choose) const {
+bool Operator::admits(const std::string& rent, const std::string& order,
+                      const std::string& choose) const {
   const auto it = values.find("admit");
   if (it == values.end()) return true;
   Inputs in;
-  for (const auto& p : kParts) in.push_back(p.name == rent || p.name == order || p.name == choose ? 1 : 0);
+  for (const auto& p : kParts)
+    in.push_back(p.name == rent || p.name == order || p.name == choose ? 1 : 0);
   return it->second.evaluate(in) != 0;
 }
 
--- a/src/settings/expression.hpp
+++ b/src/settings/expression.hpp
@@ -6,8 +6,8 @@
 //     admit  = not ODE and (LXF or UNICEF)
 //
 // Numbers with units (ms, s, min, h, %), true, false, + - * /, comparisons, and/or/not,
-// if-then-else, min(a, b), max(a, b) and named inputs. There are no loops and no names of one's own,
-// so an evaluation takes a bounded time and no memory; it never gives NaN or infinity.
+// if-then-else, min(a, b), max(a, b) and named inputs. There are no loops and no names of one's
+// own, so an evaluation takes a bounded time and no memory; it never gives NaN or infinity.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -35,8 +35,27 @@
 
 class Expression {
  public:
-  enum class Op { value, input, negate, invert, add, sub, mul, div, less, less_equal, more, more_equal, equal, unequal,
-                  both, either, choose, least, most };
+  enum class Op {
+    value,
+    input,
+    negate,
+    invert,
+    add,
+    sub,
+    mul,
+    div,
+    less,
+    less_equal,
+    more,
+    more_equal,
+    equal,
+    unequal,
+    both,
+    either,
+    choose,
+    least,
+    most
+  };
   struct Node {
     Op op = Op::value;
     Type type = Type::number;
@@ -58,8 +77,8 @@
 };
 
 // Compiles one expression. Problems carry `line` and columns counted from `column`.
-bool compile(std::string_view text, std::size_t line, std::size_t column, const std::vector<InputName>& inputs,
-             Expression& out, std::vector<Problem>& problems);
+bool compile(std::string_view text, std::size_t line, std::size_t column,
+             const std::vector<InputName>& inputs, Expression& out, std::vector<Problem>& problems);
 
 // The operators' settings; what the file leaves out has the design's value.
 struct Operator {
--- a/src/settings/platform.cpp
+++ b/src/settings/platform.cpp
@@ -120,12 +120,14 @@
   bool muted_ = false;
 };
 
-constexpr double kLeastRate = 1;       // requests or writes a second
-constexpr double kLeastValueKb = 1;    // below it a job's description does not fit
-constexpr int kLeastChanges = 4;       // of one transaction: the most that a takeover or a switch of levels needs
+constexpr double kLeastRate = 1;     // requests or writes a second
+constexpr double kLeastValueKb = 1;  // below it a job's description does not fit
+constexpr int kLeastChanges =
+    4;  // of one transaction: the most that a takeover or a switch of levels needs
 constexpr int kMostChanges = 1'000'000;
 
-// Today's limits, lowered to those under `next`, each of which may be missing there. None may be above today's.
+// Today's limits, lowered to those under `next`, each of which may be missing there. None may be
+// above today's.
 StoreLimits read_store_limits(Reader& state) {
   StoreLimits limits;
   limits.requests_per_s = state.number("rps", kLeastRate);
@@ -184,7 +186,8 @@
   params.list("teams", [&](Reader t) {
     Team team;
     team.name = t.text("name");
-    // A guest team comes with nothing but its name, or with zeros: no guarantee, and no limit either.
+    // A guest team comes with nothing but its name, or with zeros: no guarantee, and no limit
+    // either.
     const auto amount = [&](const char* field) { return t.has(field) ? t.number(field, 0) : 0.0; };
     const auto limit = [&](const char* field) {
       const double most = amount(field);
@@ -223,15 +226,19 @@
   p.memory_mb = l.number("memory_mb", 1);
   p.max_connections = l.count("max_connections", 16, 10'000'000);
   p.time_bound_ms = params.number("time_bound_ms", 0);
-  // A cancelled task must be gone in time even when the leader never hears of the cancellation and the task's machine can't be
-  // reached: the leader acts on until its lease is over, and the task ends with its worker's.
+  // A cancelled task must be gone in time even when the leader never hears of the cancellation and
+  // the task's machine can't be reached: the leader acts on until its lease is over, and the task
+  // ends with its worker's.
   if (out.problems.empty() && unknowing_ms(p) < kLeaderTtlMs)
-    out.problems.push_back("params.workers.cancel_s: is too short for lease_s and the leader's lease");
+    out.problems.push_back(
+        "params.workers.cancel_s: is too short for lease_s and the leader's lease");
   return out;
 }
 
 std::int64_t unknowing_ms(const Platform& p) {
-  return static_cast<std::int64_t>((p.cancel_s * (1 - 2 * kDrift) - p.lease_s * (1 + 2 * kDrift)) * 1000) - kLeaseMarginMs - kLeaderMarginMs;
+  return static_cast<std::int64_t>((p.cancel_s * (1 - 2 * kDrift) - p.lease_s * (1 + 2 * kDrift)) *
+                                   1000) -
+         kLeaseMarginMs - kLeaderMarginMs;
 }
 
 Loaded load_platform(const std::string& path) {
--- a/src/settings/platform.hpp
+++ b/src/settings/platform.hpp
@@ -3,15 +3,14 @@
 #include <cstdint>
 #include <limits>
 #include <map>
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace hitchfront::settings {
 
-// A limit that the platform gives as 0, or not at all, is none (DEPLOY: "0 means none"). Infinity says so in
-// every sum and comparison, so that no user of a limit has to remember what 0 stood for.
+// A limit that the platform gives as 0, or not at all, is none (DEPLOY: "0 means none"). Infinity
+// says so in every sum and comparison, so that no user of a limit has to remember what 0 stood for.
 inline constexpr double kNoLimit = std::numeric_limits<double>::infinity();
 
 struct Team {
@@ -44,8 +43,8 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   double report_s = 0, lease_s = 0, cancel_s = 0;
-  // In force for everything that this program writes: of today's limits and those announced for later (`state.next`),
-  // which come without notice, the smaller ones.
+  // In force for everything that this program writes: of today's limits and those announced for
+  // later (`state.next`), which come without notice, the smaller ones.
   StoreLimits store;
   double cloud_rps = 0, cloud_list_lag_s = 0;
   double cores = 0, memory_mb = 0;
@@ -53,8 +52,9 @@
   double time_bound_ms = 0;
 };
 
-// ms for which machines may be answered without knowledge of what is cancelled meanwhile: the answer renews a worker's lease, and
-// with that lease cancel_s must not be over. Below what a leader needs, the settings are refused.
+// ms for which machines may be answered without knowledge of what is cancelled meanwhile: the
+// answer renews a worker's lease, and with that lease cancel_s must not be over. Below what a
+// leader needs, the settings are refused.
 std::int64_t unknowing_ms(const Platform& p);
 
 struct Loaded {
--- a/src/telemetry/events.hpp
+++ b/src/telemetry/events.hpp
@@ -1,5 +1,6 @@
-// Every event that the service logs, in one table: name, level, fields and meaning. Text, JSON lines, the
-// summaries, `hitchfront log explain` and the page in docs/operations.md all follow it. Pure.
+// Every event that the service logs, in one table: name, level, fields and meaning. Text, JSON
+// lines, the summaries, `hitchfront log explain` and the page in docs/operations.md all follow it.
+// Pure.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -83,8 +84,8 @@
 };
 inline constexpr std::size_t kEvents = static_cast<std::size_t>(Event::log_unwritten) + 1;
 
-// What becomes of a field when events of a kind are told together: a few values are listed, equal values are
-// counted, numbers are added up, or it is left to the single lines.
+// What becomes of a field when events of a kind are told together: a few values are listed, equal
+// values are counted, numbers are added up, or it is left to the single lines.
 enum class Role : std::uint8_t { none, listed, counted, added };
 enum class Kind : std::uint8_t { text, integer, number, boolean };
 std::string_view name(Kind kind);
@@ -107,7 +108,8 @@
 const EventSpec& spec(Event event);
 
 using Counts = std::map<std::string, std::uint64_t>;
-using Value = std::variant<std::string, std::int64_t, double, bool, std::vector<std::string>, Counts>;
+using Value =
+    std::variant<std::string, std::int64_t, double, bool, std::vector<std::string>, Counts>;
 
 // Whatever the core has at hand, as a field's value.
 template <class T>
--- a/src/telemetry/figures.cpp
+++ b/src/telemetry/figures.cpp
@@ -29,30 +29,47 @@
       {"hitchfront_leads_lost_total", "Terms that ended while this process lived"},
       {"hitchfront_reports_total", "Workers' reports that the leader took", "way", kWays},
       {"hitchfront_relayed_total", "Workers' reports passed on to the leader", "way", kWays},
-      {"hitchfront_refusals_total", "Requests of users that were refused", "reason",
-       {"busy", "store", "types", "malformed", "never_runs", "try_again", "unknown", "level", "promised"}},
-      {"hitchfront_store_calls_total", "Calls of the state service", "result",
+      {"hitchfront_refusals_total",
+       "Requests of users that were refused",
+       "reason",
+       {"busy", "store", "types", "malformed", "never_runs", "try_again", "unknown", "level",
+        "promised"}},
+      {"hitchfront_store_calls_total",
+       "Calls of the state service",
+       "result",
        {"ok", "conflict", "missing", "crowded", "refused", "unanswered", "other", "too_large"}},
-      {"hitchfront_store_writes_total", "Puts and deletes asked of the state service: what users submit and cancel, launch marks, progress, final states, the roster, relayed reports, and what leadership and levels take",
-       "what", {"user", "mark", "progress", "final", "roster", "relay", "lead"}},
+      {"hitchfront_store_writes_total",
+       "Puts and deletes asked of the state service: what users submit and cancel, launch marks, "
+       "progress, final states, the roster, relayed reports, and what leadership and levels take",
+       "what",
+       {"user", "mark", "progress", "final", "roster", "relay", "lead"}},
       {"hitchfront_launches_total", "Launch commands sent"},
-      {"hitchfront_direct_launches_total", "Of those, sent to the machine itself between two of its reports"},
+      {"hitchfront_direct_launches_total",
+       "Of those, sent to the machine itself between two of its reports"},
       {"hitchfront_completions_total", "Tasks found completed"},
       {"hitchfront_failures_total", "Tasks that failed"},
-      {"hitchfront_stops_total", "Tasks told to stop", "why", {"preempted", "emptied", "notice", "withdrawn"}},
+      {"hitchfront_stops_total",
+       "Tasks told to stop",
+       "why",
+       {"preempted", "emptied", "notice", "withdrawn"}},
       {"hitchfront_leases_lost_total", "Machines whose lease was over"},
       {"hitchfront_tasks_lost_total", "Tasks that were on such machines"},
-      {"hitchfront_withheld_total", "Reports refused because a task of a cancelled job could not be ended by the answer"},
+      {"hitchfront_withheld_total",
+       "Reports refused because a task of a cancelled job could not be ended by the answer"},
       {"hitchfront_rented_total", "Machines rented"},
-      {"hitchfront_returned_total", "Machines given back", "why",
+      {"hitchfront_returned_total",
+       "Machines given back",
+       "why",
        {"idle", "lost", "emptied", "taken", "failed", "faulty", "deaf", "stuck"}},
       {"hitchfront_placement_work_total", "Machines and tasks that placement looked at"},
       {"hitchfront_replay_steps_total", "Steps of replayed policies"},
       {"hitchfront_selections_total", "Selections that came to an end"},
       {"hitchfront_roster_writes_total", "Chunks of the roster written"},
       {"hitchfront_roster_bytes_total", "Characters of those chunks"},
-      {"hitchfront_level_refused_total", "Transactions refused because they were formed under another level of the stored state"},
-      {"hitchfront_rebuilds_total", "Rebuilds of the stored state after a loss that this process finished"},
+      {"hitchfront_level_refused_total",
+       "Transactions refused because they were formed under another level of the stored state"},
+      {"hitchfront_rebuilds_total",
+       "Rebuilds of the stored state after a loss that this process finished"},
       {"hitchfront_log_lines_total", "Lines written to the log"},
   }};
   return table;
@@ -63,36 +80,78 @@
       {"hitchfront_leading", "1 while this process leads"},
       {"hitchfront_term", "The newest term that this process knows"},
       {"hitchfront_jobs", "Unfinished jobs that the leader knows"},
-      {"hitchfront_tasks", "Their tasks, by the leader's books", "state", {"waiting", "placed", "doubt"}},
-      {"hitchfront_machines", "Machines, by the leader's books", "state", {"up", "booting", "lost", "leaving"}},
-      {"hitchfront_doubt_tasks", "Tasks that may be on a machine which is not confirmed in this term"},
+      {"hitchfront_tasks",
+       "Their tasks, by the leader's books",
+       "state",
+       {"waiting", "placed", "doubt"}},
+      {"hitchfront_machines",
+       "Machines, by the leader's books",
+       "state",
+       {"up", "booting", "lost", "leaving"}},
+      {"hitchfront_doubt_tasks",
+       "Tasks that may be on a machine which is not confirmed in this term"},
       {"hitchfront_held_reports", "Reports that wait for something to say"},
-      {"hitchfront_level", "Level of the stored state: in whose form values are written, and the forms that may still stand", "form", {"active", "low", "high"}},
+      {"hitchfront_level",
+       "Level of the stored state: in whose form values are written, and the forms that may still "
+       "stand",
+       "form",
+       {"active", "low", "high"}},
       {"hitchfront_level_held", "1 while something holds the next level back; the log says what"},
-      {"hitchfront_level_left", "Stored values that are not of the active level's form yet, by the leader's last look"},
+      {"hitchfront_level_left",
+       "Stored values that are not of the active level's form yet, by the leader's last look"},
       {"hitchfront_members_up", "Other controllers heard within the last signs of life"},
-      {"hitchfront_state_lost", "1 while the stored state is known to have lost something and is not rebuilt"},
+      {"hitchfront_state_lost",
+       "1 while the stored state is known to have lost something and is not rebuilt"},
       {"hitchfront_copy_bytes", "This process's copy of the stored state, about"},
-      {"hitchfront_jobs_waiting", "Unfinished jobs that wait for other jobs, by the leader's books"},
+      {"hitchfront_jobs_waiting",
+       "Unfinished jobs that wait for other jobs, by the leader's books"},
   }};
   return table;
 }
 
 const std::array<Spec, kSpreads>& spreads() {
   static const std::array<Spec, kSpreads> table = {{
-      {"hitchfront_start_seconds", "From a job's acceptance to a task's first sight running", "standing",
-       {"idle", "standard", "urgent", "production"}, {1, 2, 5, 10, 20, 30, 60, 120, 300}},
-      {"hitchfront_store_seconds", "A store call, waiting for the budget included", "", {}, {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}},
-      {"hitchfront_doubt_seconds", "From taking over until nothing was in doubt", "", {}, {1, 2, 3, 5, 8, 13, 20, 30, 60}},
-      {"hitchfront_confirm_seconds", "From taking over until a machine was confirmed", "", {}, {0.5, 1, 2, 3, 5, 8, 13, 20, 30}},
-      {"hitchfront_roster_seconds", "From a task's assignment until the roster that names it was stored", "", {}, {0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}},
-      {"hitchfront_replayed_policies", "Policies replayed in a selection", "", {}, {1, 2, 5, 10, 20, 30, 45, 60}},
+      {"hitchfront_start_seconds",
+       "From a job's acceptance to a task's first sight running",
+       "standing",
+       {"idle", "standard", "urgent", "production"},
+       {1, 2, 5, 10, 20, 30, 60, 120, 300}},
+      {"hitchfront_store_seconds",
+       "A store call, waiting for the budget included",
+       "",
+       {},
+       {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}},
+      {"hitchfront_doubt_seconds",
+       "From taking over until nothing was in doubt",
+       "",
+       {},
+       {1, 2, 3, 5, 8, 13, 20, 30, 60}},
+      {"hitchfront_confirm_seconds",
+       "From taking over until a machine was confirmed",
+       "",
+       {},
+       {0.5, 1, 2, 3, 5, 8, 13, 20, 30}},
+      {"hitchfront_roster_seconds",
+       "From a task's assignment until the roster that names it was stored",
+       "",
+       {},
+       {0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}},
+      {"hitchfront_replayed_policies",
+       "Policies replayed in a selection",
+       "",
+       {},
+       {1, 2, 5, 10, 20, 30, 45, 60}},
   }};
   return table;
 }
 
-const Spec kServed = {"hitchfront_served", "By `by` (`class`, `team`, or `largest`: the largest jobs of a class) and `name` (64 of each, then `other`), on the leader: jobs since its takeover, those that wait now, the longest wait in seconds, and the share started of those that are over or have waited for two minutes",
-                      "state", {"accepted", "started", "done", "withdrawn", "waiting", "oldest_s", "share"}};
+const Spec kServed = {
+    "hitchfront_served",
+    "By `by` (`class`, `team`, or `largest`: the largest jobs of a class) and `name` (64 of each, "
+    "then `other`), on the leader: jobs since its takeover, those that wait now, the longest wait "
+    "in seconds, and the share started of those that are over or have waited for two minutes",
+    "state",
+    {"accepted", "started", "done", "withdrawn", "waiting", "oldest_s", "share"}};
 
 }  // namespace
 
@@ -115,23 +174,38 @@
 
 Figures::Figures() : r_(std::make_unique<Registered>()) {
   for (std::size_t i = 0; i < kCounts; ++i) {
-    auto& family = prometheus::BuildCounter().Name(counts()[i].name).Help(counts()[i].help).Register(r_->registry);
-    each_series(counts()[i], family, [&](auto& f, const auto& labels) { r_->counts[i].push_back(&f.Add(labels)); });
+    auto& family = prometheus::BuildCounter()
+                       .Name(counts()[i].name)
+                       .Help(counts()[i].help)
+                       .Register(r_->registry);
+    each_series(counts()[i], family,
+                [&](auto& f, const auto& labels) { r_->counts[i].push_back(&f.Add(labels)); });
   }
   for (std::size_t i = 0; i < kGauges; ++i) {
-    auto& family = prometheus::BuildGauge().Name(gauges()[i].name).Help(gauges()[i].help).Register(r_->registry);
-    each_series(gauges()[i], family, [&](auto& f, const auto& labels) { r_->gauges[i].push_back(&f.Add(labels)); });
+    auto& family = prometheus::BuildGauge()
+                       .Name(gauges()[i].name)
+                       .Help(gauges()[i].help)
+                       .Register(r_->registry);
+    each_series(gauges()[i], family,
+                [&](auto& f, const auto& labels) { r_->gauges[i].push_back(&f.Add(labels)); });
   }
-  r_->served = &prometheus::BuildGauge().Name(kServed.name).Help(kServed.help).Register(r_->registry);
+  r_->served =
+      &prometheus::BuildGauge().Name(kServed.name).Help(kServed.help).Register(r_->registry);
   for (std::size_t i = 0; i < kSpreads; ++i) {
-    auto& family = prometheus::BuildHistogram().Name(spreads()[i].name).Help(spreads()[i].help).Register(r_->registry);
-    each_series(spreads()[i], family, [&](auto& f, const auto& labels) { r_->spreads[i].push_back(&f.Add(labels, spreads()[i].bounds)); });
+    auto& family = prometheus::BuildHistogram()
+                       .Name(spreads()[i].name)
+                       .Help(spreads()[i].help)
+                       .Register(r_->registry);
+    each_series(spreads()[i], family, [&](auto& f, const auto& labels) {
+      r_->spreads[i].push_back(&f.Add(labels, spreads()[i].bounds));
+    });
   }
 }
 
 Figures::~Figures() = default;
 
-void Figures::served(const std::string& by, const std::string& name, const std::string& state, double v) {
+void Figures::served(const std::string& by, const std::string& name, const std::string& state,
+                     double v) {
   r_->served->Add({{"by", by}, {"name", name}, {"state", state}}).Set(v);
 }
 
@@ -179,7 +253,8 @@
   for (const auto& f : figures()) {
     std::string label = f.label.empty() ? "" : "`" + f.label + "`: ";
     for (std::size_t i = 0; i < f.values.size(); ++i) label += (i > 0 ? ", " : "") + f.values[i];
-    out += "| `" + f.name + "` | " + f.type + " | " + (label.empty() ? "none" : label) + " | " + f.help + " |\n";
+    out += "| `" + f.name + "` | " + f.type + " | " + (label.empty() ? "none" : label) + " | " +
+           f.help + " |\n";
   }
   return out;
 }
--- a/src/telemetry/figures.hpp
+++ b/src/telemetry/figures.hpp
@@ -1,6 +1,6 @@
-// What the service counts and measures, for GET /metrics (Prometheus' text format, by prometheus-cpp). One table;
-// every label value is known beforehand, so that the number of series never grows with machines or jobs.
-// A registry for each controller: no global state.
+// What the service counts and measures, for GET /metrics (Prometheus' text format, by
+// prometheus-cpp). One table; every label value is known beforehand, so that the number of series
+// never grows with machines or jobs. A registry for each controller: no global state.
 #pragma once
 #include <cstddef>
 #include <cstdint>
@@ -14,11 +14,11 @@
 enum class Count : std::uint8_t {
   takeovers,
   leads_lost,
-  reports,      // by way
-  relayed,      // by way
-  refusals,     // by reason
-  store_calls,  // by result
-  store_writes, // by what
+  reports,       // by way
+  relayed,       // by way
+  refusals,      // by reason
+  store_calls,   // by result
+  store_writes,  // by what
   launches,
   direct_launches,
   completions,
@@ -40,7 +40,22 @@
 };
 inline constexpr std::size_t kCounts = static_cast<std::size_t>(Count::log_lines) + 1;
 
-enum class Gauge : std::uint8_t { leading, term, jobs, tasks, machines, doubt, held, level, level_held, level_left, members_up, state_lost, copy_bytes, jobs_waiting };
+enum class Gauge : std::uint8_t {
+  leading,
+  term,
+  jobs,
+  tasks,
+  machines,
+  doubt,
+  held,
+  level,
+  level_held,
+  level_left,
+  members_up,
+  state_lost,
+  copy_bytes,
+  jobs_waiting
+};
 inline constexpr std::size_t kGauges = static_cast<std::size_t>(Gauge::jobs_waiting) + 1;
 
 enum class Spread : std::uint8_t { start_s, store_s, doubt_s, confirm_s, roster_s, replayed };
@@ -48,8 +63,27 @@
 
 // Labels, as places in the table's lists.
 enum class Way : std::uint8_t { direct, peer, store };
-enum class Refusal : std::uint8_t { busy, store, types, malformed, never, again, unknown, level, promised };
-enum class CallResult : std::uint8_t { ok, conflict, missing, crowded, refused, unanswered, other, too_large };
+enum class Refusal : std::uint8_t {
+  busy,
+  store,
+  types,
+  malformed,
+  never,
+  again,
+  unknown,
+  level,
+  promised
+};
+enum class CallResult : std::uint8_t {
+  ok,
+  conflict,
+  missing,
+  crowded,
+  refused,
+  unanswered,
+  other,
+  too_large
+};
 enum class Write : std::uint8_t { user, mark, progress, final, roster, relay, lead };
 enum class Stop : std::uint8_t { preempted, emptied, notice, withdrawn };
 enum class Back : std::uint8_t { idle, lost, emptied, taken, failed, faulty, deaf, stuck };
@@ -63,7 +97,9 @@
 
   void add(Count what, double n = 1) { add_at(what, 0, n); }
   template <class Label>
-  void add(Count what, Label label, double n = 1) requires std::is_enum_v<Label> { add_at(what, static_cast<std::size_t>(label), n); }
+  void add(Count what, Label label, double n = 1) requires std::is_enum_v<Label> {
+    add_at(what, static_cast<std::size_t>(label), n);
+  }
   void set(Gauge what, double v, std::size_t label = 0);
   void observe(Spread what, double v, std::size_t label = 0);
   // One class of jobs or team: the caller bounds how many names there are.
--- a/src/telemetry/fold.cpp
+++ b/src/telemetry/fold.cpp
@@ -35,7 +35,8 @@
 
 bool Folder::due(Ms now, const Group& g) const {
   if (now >= g.due) return true;
-  return g.last_count > 0 && now - g.told >= kFoldLeastMs && g.count >= kFoldSurge * (g.last_count + kFoldNames);
+  return g.last_count > 0 && now - g.told >= kFoldLeastMs &&
+         g.count >= kFoldSurge * (g.last_count + kFoldNames);
 }
 
 void Folder::add(Ms now, const Line& line, Group& g) {
@@ -53,9 +54,12 @@
   for (std::size_t i = 0; i < line.values.size() && i < s.fields.size(); ++i) {
     const auto& v = line.values[i];
     switch (s.fields[i].role) {
-      case Role::none: break;
+      case Role::none:
+        break;
       case Role::listed:
-        if (const auto* text = std::get_if<std::string>(&v); text != nullptr && g.listed[i].size() < kFoldNames) g.listed[i].push_back(*text);
+        if (const auto* text = std::get_if<std::string>(&v);
+            text != nullptr && g.listed[i].size() < kFoldNames)
+          g.listed[i].push_back(*text);
         break;
       case Role::counted:
         if (const auto* text = std::get_if<std::string>(&v)) {
--- a/src/telemetry/fold.hpp
+++ b/src/telemetry/fold.hpp
@@ -1,5 +1,5 @@
-// Tells together what happens per machine, job or request: at a fleet of 1,300 machines the single lines of an
-// ordinary day hide its takeovers. Time comes in; pure.
+// Tells together what happens per machine, job or request: at a fleet of 1,300 machines the single
+// lines of an ordinary day hide its takeovers. Time comes in; pure.
 #pragma once
 #include <array>
 #include <cstdint>
@@ -18,8 +18,9 @@
   std::vector<Entry> tick(Ms now);
 
  private:
-  // A kind's first summary comes a second after its first line, the next after twice as long, and so on up to a
-  // minute; a surge is told at once, and a kind that has been quiet for a minute begins anew.
+  // A kind's first summary comes a second after its first line, the next after twice as long, and
+  // so on up to a minute; a surge is told at once, and a kind that has been quiet for a minute
+  // begins anew.
   struct Group {
     std::uint64_t count = 0, last_count = 0;
     Ms since = 0, due = 0, period = 0, told = 0;
--- a/src/telemetry/largest.cpp
+++ b/src/telemetry/largest.cpp
@@ -9,7 +9,8 @@
   auto& sizes = sizes_[known ? job_class : std::string()];
   sizes.push_back(size);
   if (sizes.size() > kLast) sizes.pop_front();
-  const auto larger = static_cast<std::size_t>(std::count_if(sizes.begin(), sizes.end(), [size](double s) { return s > size; }));
+  const auto larger = static_cast<std::size_t>(
+      std::count_if(sizes.begin(), sizes.end(), [size](double s) { return s > size; }));
   return larger < std::max<std::size_t>(1, sizes.size() / 10);
 }
 
--- a/src/telemetry/largest.hpp
+++ b/src/telemetry/largest.hpp
@@ -1,5 +1,6 @@
-// Which jobs are among the largest of their class: of its last hundred jobs, and this one, no more than a tenth ask for more
-// processors in all. Pure. Kept by the leader, from what it knows and what comes.
+// Which jobs are among the largest of their class: of its last hundred jobs, and this one, no more
+// than a tenth ask for more processors in all. Pure. Kept by the leader, from what it knows and
+// what comes.
 #pragma once
 #include <cstddef>
 #include <deque>
--- a/src/telemetry/served.cpp
+++ b/src/telemetry/served.cpp
@@ -5,12 +5,15 @@
 
 namespace hitchfront::telemetry {
 
-const char* name(By by) { return by == By::team ? "team" : by == By::largest ? "largest" : "class"; }
+const char* name(By by) {
+  return by == By::team ? "team" : by == By::largest ? "largest" : "class";
+}
 
 // Users write the names of classes: however many there are, the rows are bounded.
 Served::Kept& Served::kept(By by, const std::string& name) {
   if (const auto it = kept_.find({by, name}); it != kept_.end()) return it->second;
-  const auto n = static_cast<std::size_t>(std::count_if(kept_.begin(), kept_.end(), [&](const auto& k) { return k.first.first == by; }));
+  const auto n = static_cast<std::size_t>(std::count_if(
+      kept_.begin(), kept_.end(), [&](const auto& k) { return k.first.first == by; }));
   auto& k = kept_[{by, n < limits_.names ? name : "other"}];
   k.row.by = by;
   k.row.name = n < limits_.names ? name : "other";
@@ -18,7 +21,8 @@
 }
 
 void Served::fade(Ms now, Kept& k) const {
-  const double by = std::exp2(-static_cast<double>(now - k.faded) / static_cast<double>(limits_.fade));
+  const double by =
+      std::exp2(-static_cast<double>(now - k.faded) / static_cast<double>(limits_.fade));
   if (k.faded != 0) {
     k.over_all *= by;
     k.over_started *= by;
--- a/src/telemetry/served.hpp
+++ b/src/telemetry/served.hpp
@@ -1,5 +1,6 @@
-// How far each class of jobs, each team and the largest jobs of each class (telemetry/largest) are served: of the jobs that have waited long enough to have had their turn, or
-// are over, how many were started. Pure: time comes in. Kept by the leader since its takeover; what is over fades.
+// How far each class of jobs, each team and the largest jobs of each class (telemetry/largest) are
+// served: of the jobs that have waited long enough to have had their turn, or are over, how many
+// were started. Pure: time comes in. Kept by the leader since its takeover; what is over fades.
 #pragma once
 #include <cstddef>
 #include <cstdint>
@@ -17,19 +18,19 @@
  public:
   using Ms = std::int64_t;  // steady time in milliseconds
   struct Limits {
-    std::size_t names;   // of each kind; the rest is counted together, as "other"
-    Ms due;              // a job that has waited this long has had its turn
-    Ms fade;             // what is over counts half after this long
-    double share;        // less than this is low
-    Ms low_for;          // told once it was low for this long, and again each time this has passed
+    std::size_t names;  // of each kind; the rest is counted together, as "other"
+    Ms due;             // a job that has waited this long has had its turn
+    Ms fade;            // what is over counts half after this long
+    double share;       // less than this is low
+    Ms low_for;         // told once it was low for this long, and again each time this has passed
   };
   struct Row {
     By by = By::job_class;
     std::string name;
     double accepted = 0, started = 0, done = 0, withdrawn = 0;  // jobs, since the takeover
-    std::size_t waiting = 0;  // unfinished and not started
-    double oldest_s = 0;      // of those, the longest wait
-    double share = 1;         // started of what is due or over
+    std::size_t waiting = 0;                                    // unfinished and not started
+    double oldest_s = 0;                                        // of those, the longest wait
+    double share = 1;                                           // started of what is due or over
   };
   struct Who {
     const std::string& job_class;
