--- a/src/core/front.cpp
+++ b/src/core/front.cpp
@@ -14,6 +14,10 @@
 std::string_view word(const wire::OverRecord& r) {
   return r.withdrawn ? wire::kWithdrawn : wire::kDone;
 }
+
+wire::BadField never_done(const std::string& service) {
+  return {"Awaits", service + " is a service, which is never done"};
+}
 }  // namespace
 
 Front::Front(Outbox& out, StoreClient& store, const Platform& platform, AskCounts ask,
@@ -250,17 +254,16 @@
   if (!unknown.empty()) {
     const auto name = unknown.back();
     unknown.pop_back();
-    return look_up(
-        now, name,
-        [this, request, id, record, name, unknown = std::move(unknown), known = copy_.knows(name)](
-            Ms t, const Found& f) {
-          if (f.failed) return refuse(request, Refusal::store);
-          if (f.live && f.live->job.form == wire::Form::service)
-            return deny(request, 422, {"Awaits", name + " is a service, which is never done"});
-          if (f.live || f.over) return look_up_awaited(t, request, id, record, unknown);
-          if (may_be_new(t, request, known))
-            deny(request, 422, {"Awaits", name + " was never accepted"});
-        });
+    return look_up(now, name,
+                   [this, request, id, record, name, unknown = std::move(unknown),
+                    known = copy_.knows(name)](Ms t, const Found& f) {
+                     if (f.failed) return refuse(request, Refusal::store);
+                     if (f.live && f.live->job.form == wire::Form::service)
+                       return deny(request, 422, never_done(name));
+                     if (f.live || f.over) return look_up_awaited(t, request, id, record, unknown);
+                     if (may_be_new(t, request, known))
+                       deny(request, 422, {"Awaits", name + " was never accepted"});
+                   });
   }
   auto accepted = record;
   for (const auto& name : record.job.awaits) {
@@ -275,7 +278,7 @@
   if (it == copy_.unfinished().end()) return std::nullopt;
   const auto record = wire::decode_live(nlohmann::json::parse(it->second.record, nullptr, false));
   if (!record || record->job.form != wire::Form::service) return std::nullopt;
-  return wire::BadField{"Awaits", id + " is a service, which is never done"};
+  return never_done(id);
 }
 
 bool Front::is_cancelled(const std::string& id) const {
