--- a/scale/options.hpp
+++ b/scale/options.hpp
@@ -26,23 +26,27 @@
   double cores = 0.9;        // told to each controller
   double store_requests = 2000, store_writes = 200;
   bool commands = true;  // a worker listens for direct commands, which takes a socket more
-  bool failures = true;  // a zone cut for longer than a lease, the leader killed, a controller replaced
+  bool failures =
+      true;  // a zone cut for longer than a lease, the leader killed, a controller replaced
   int port = 20'000;
 };
 
 // A worker's processors; each task takes one. By the plan 71,000 of 73,600 are in use.
 inline constexpr int kWorkerCpus = 8;
-// Processes besides this one and bytes of memory for each worker and each controller, for the checks: measured once.
+// Processes besides this one and bytes of memory for each worker and each controller, for the
+// checks: measured once.
 inline constexpr std::size_t kWorkerBytes = 150'000, kControllerBytes = 200'000'000;
 
 struct Machine {
   std::size_t files = 0;         // that one process may have open
   std::size_t memory_bytes = 0;  // of the whole machine
-  std::vector<std::string> busy_addresses;  // of those that the run listens on, what somebody else has
+  std::vector<std::string>
+      busy_addresses;  // of those that the run listens on, what somebody else has
 };
 Machine this_machine(const Options& options);
 
-// ADDRESS:PORT of a controller (users and workers at 0, other controllers at 1), and of the state service (0) and the cloud (1).
+// ADDRESS:PORT of a controller (users and workers at 0, other controllers at 1), and of the state
+// service (0) and the cloud (1).
 std::string controller_address(const Options& options, std::size_t controller, int which);
 std::string service_address(const Options& options, int which);
 
--- a/scale/run.hpp
+++ b/scale/run.hpp
@@ -1,5 +1,6 @@
-// One scale run: starts the controllers, plays workers, state service, cloud and users in this process, breaks what the
-// options ask for, and measures. Everything listens on loopback, and everything that was started is ended with it.
+// One scale run: starts the controllers, plays workers, state service, cloud and users in this
+// process, breaks what the options ask for, and measures. Everything listens on loopback, and
+// everything that was started is ended with it.
 #pragma once
 #include <event2/event.h>
 
--- a/src/aging/aging.hpp
+++ b/src/aging/aging.hpp
@@ -1,6 +1,7 @@
-// Aging: which jobs of which no task has begun go before their place in the queue, for one task each, and for which of them
-// room is set aside. Without it a job that is larger than whatever comes free waits for as long as smaller ones
-// arrive, whichever policy orders them. Pure: waits come in.
+// Aging: which jobs of which no task has begun go before their place in the queue, for one task
+// each, and for which of them room is set aside. Without it a job that is larger than whatever
+// comes free waits for as long as smaller ones arrive, whichever policy orders them. Pure: waits
+// come in.
 #pragma once
 #include <cstddef>
 #include <cstdint>
@@ -16,7 +17,8 @@
 
 struct Limits {
   double aged_s = 0, due_s = 0;  // s of waiting from which it has that turn
-  double aside_share = 0;        // of the machines, one at the least: for so many such jobs room is set aside at a time
+  double aside_share =
+      0;  // of the machines, one at the least: for so many such jobs room is set aside at a time
 };
 
 // A job with tasks that wait.
@@ -34,6 +36,7 @@
 };
 
 // Those that have a turn, the longest wait first.
-std::vector<Given> turns(const std::vector<Waiting>& waiting, std::size_t machines, const Limits& limits);
+std::vector<Given> turns(const std::vector<Waiting>& waiting, std::size_t machines,
+                         const Limits& limits);
 
 }  // namespace hitchfront::aging
--- a/src/answers/answers.cpp
+++ b/src/answers/answers.cpp
@@ -6,7 +6,9 @@
 using wire::Command;
 using Op = wire::Command::Op;
 namespace {
-Command command(Op op, const Attempt& a, double grace_s = 0) { return {op, a.job, a.task, a.number, grace_s}; }
+Command command(Op op, const Attempt& a, double grace_s = 0) {
+  return {op, a.job, a.task, a.number, grace_s};
+}
 }  // namespace
 
 std::size_t Answer::room() const {
@@ -14,7 +16,9 @@
   return used < most_ ? most_ - used : 0;
 }
 
-void Answer::end(const Attempt& a, Ms until) { ends_.push_back({command(Op::stop, a), until}); }
+void Answer::end(const Attempt& a, Ms until) {
+  ends_.push_back({command(Op::stop, a), until});
+}
 
 void Answer::end_unlisted(Ms now, const Attempt& a, Ms until) {
   if (now >= until) {
@@ -38,7 +42,8 @@
 
 bool Answer::renews(Ms now) const {
   if (may_come_) return false;
-  return std::none_of(ends_.begin() + static_cast<std::ptrdiff_t>(std::min(most_, ends_.size())), ends_.end(), [&](const End& e) { return now >= e.until; });
+  return std::none_of(ends_.begin() + static_cast<std::ptrdiff_t>(std::min(most_, ends_.size())),
+                      ends_.end(), [&](const End& e) { return now >= e.until; });
 }
 
 std::vector<Command> Answer::commands() const {
@@ -64,7 +69,8 @@
   std::vector<std::vector<Command>> out;
   for (std::size_t i = renewed ? most_ : 0; i < ends_.size(); i += most_) {
     out.emplace_back();
-    for (std::size_t j = i; j < std::min(i + most_, ends_.size()); ++j) out.back().push_back(ends_[j].command);
+    for (std::size_t j = i; j < std::min(i + most_, ends_.size()); ++j)
+      out.back().push_back(ends_[j].command);
   }
   if (!renewed && out.empty()) out.emplace_back();
   return out;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -14,8 +14,8 @@
 
 constexpr int kBadSettings = 2;
 
-// Tells the story of the logs in the files (- is standard input). 0, or 2 where a file can't be read or holds
-// nothing of ours.
+// Tells the story of the logs in the files (- is standard input). 0, or 2 where a file can't be
+// read or holds nothing of ours.
 int explain(const std::vector<std::string>& files) {
   hitchfront::telemetry::Story story;
   for (const auto& file : files) {
@@ -57,11 +57,14 @@
   check->add_option("--operator", operator_path, operator_help);
   std::string format = "text";
   for (auto* a : {&app, serve})
-    a->add_option("--log-format", format, "Form of the log: text, or json (an object a line)")->check(CLI::IsMember({"text", "json"}));
+    a->add_option("--log-format", format, "Form of the log: text, or json (an object a line)")
+        ->check(CLI::IsMember({"text", "json"}));
   auto* log = app.add_subcommand("log", "Reads logs");
   std::vector<std::string> files;
-  auto* told = log->add_subcommand("explain", "Tells terms, takeovers, outages and losses from controllers' JSON logs");
-  told->add_option("FILE", files, "Logs written with --log-format json; - is standard input")->required();
+  auto* told = log->add_subcommand(
+      "explain", "Tells terms, takeovers, outages and losses from controllers' JSON logs");
+  told->add_option("FILE", files, "Logs written with --log-format json; - is standard input")
+      ->required();
   log->require_subcommand(1);
   app.require_subcommand(0, 1);
   try {
@@ -88,7 +91,8 @@
       if (!file.empty()) std::printf("%s: in order\n", file.c_str());
     return 0;
   }
-  hitchfront::net::set_up_log(loaded.platform.node,
-                              format == "json" ? hitchfront::net::LogFormat::json : hitchfront::net::LogFormat::text);
+  hitchfront::net::set_up_log(loaded.platform.node, format == "json"
+                                                        ? hitchfront::net::LogFormat::json
+                                                        : hitchfront::net::LogFormat::text);
   return hitchfront::net::serve(loaded.platform, own.settings);
 }
--- a/src/core/blame.hpp
+++ b/src/core/blame.hpp
@@ -1,6 +1,6 @@
-// Who is at fault when a task fails: its job, its machine, or nobody yet. Evidence counts on both sides: a job
-// that has failed on several machines and completed nowhere says nothing about them, and a machine on which
-// tasks of jobs fail that complete elsewhere is faulty.
+// Who is at fault when a task fails: its job, its machine, or nobody yet. Evidence counts on both
+// sides: a job that has failed on several machines and completed nowhere says nothing about them,
+// and a machine on which tasks of jobs fail that complete elsewhere is faulty.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -15,7 +15,9 @@
   using JobIndex = std::uint64_t;
 
   void completed(JobIndex job, const std::string& machine);
-  void proved(JobIndex job) { jobs_[job].proved = true; }  // it has completed tasks under an earlier leader
+  void proved(JobIndex job) {
+    jobs_[job].proved = true;
+  }  // it has completed tasks under an earlier leader
   // Returns how often the job has failed since it last completed a task.
   std::uint32_t failed(JobIndex job, const std::string& machine);
 
@@ -26,8 +28,11 @@
   bool faulty(const std::string& machine) const;
   // Machines on which the job has failed, or null.
   const std::set<std::string>* failed_on(JobIndex job) const;
-  // The same, as far as it should not be tried there again: what fails everywhere may be tried anywhere.
-  const std::set<std::string>* avoided(JobIndex job) const { return suspect(job) ? nullptr : failed_on(job); }
+  // The same, as far as it should not be tried there again: what fails everywhere may be tried
+  // anywhere.
+  const std::set<std::string>* avoided(JobIndex job) const {
+    return suspect(job) ? nullptr : failed_on(job);
+  }
 
   void forget_job(JobIndex job);
   void forget_machine(const std::string& machine);
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -12,7 +12,7 @@
 namespace {
 constexpr const char* kTypesKey = "flavors";
 constexpr const char* kMovedTypesKey = "rigs";
-constexpr Ms kAskMs = 300;      // users wait 2 s for a poll; counts are for display only
+constexpr Ms kAskMs = 300;  // users wait 2 s for a poll; counts are for display only
 constexpr Ms kTypesRetryMs = 1000;
 constexpr std::string_view kWork = "/work/";
 constexpr std::string_view kAbort = "/abort";
@@ -31,37 +31,53 @@
     : platform_(std::move(platform)),
       operator_(std::move(op)),
       store_(out_, platform_.store.requests_per_s, platform_.store.writes_per_s, platform_.nodes),
-      levels_(out_, store_, platform_, support, static_cast<std::uint32_t>(operator_.get("level_most", {})), std::mt19937_64(seed + 29)()),
+      levels_(out_, store_, platform_, support,
+              static_cast<std::uint32_t>(operator_.get("level_most", {})),
+              std::mt19937_64(seed + 29)()),
       copies_(store_),
       vouchers_(all_peers(platform_)),
-      leadership_(out_, store_, platform_.node, seed, all_peers(platform_), operator_.get("roster", {}) != 0,
-                  support.announces ? &levels_.level() : nullptr),
-      front_(out_, store_, platform_, [this](Ms now, const std::string& id, auto done) { ask_counts(now, id, std::move(done)); }, copies_.copy(),
-             [this](Ms now) { return levels_.heard_all(now); }, [this](Ms now) { return levels_.heard_any(now); }),
+      leadership_(out_, store_, platform_.node, seed, all_peers(platform_),
+                  operator_.get("roster", {}) != 0, support.announces ? &levels_.level() : nullptr),
+      front_(
+          out_, store_, platform_,
+          [this](Ms now, const std::string& id, auto done) {
+            ask_counts(now, id, std::move(done));
+          },
+          copies_.copy(), [this](Ms now) { return levels_.heard_all(now); },
+          [this](Ms now) { return levels_.heard_any(now); }),
       relay_(out_, store_, leadership_, platform_, levels_.members(),
              [this](Ms now, std::uint64_t id, wire::Report report, bool by_store) {
                if (leader_ && leadership_.leading())
-                 return leader_->report(now, id, std::move(report), by_store ? Leader::Way::store : Leader::Way::peer);
+                 return leader_->report(now, id, std::move(report),
+                                        by_store ? Leader::Way::store : Leader::Way::peer);
                out_.reply(id, 503, wire::error_body("no leader"));
              }),
       random_(seed + 17) {
-  relay_.again = [this](Ms now, std::uint64_t request, std::string_view body, Ms until) { beat(now, request, body, until); };
+  relay_.again = [this](Ms now, std::uint64_t request, std::string_view body, Ms until) {
+    beat(now, request, body, until);
+  };
   cancelled_.on_added = [this](const std::string& job) {
     if (leader_) leader_->withdrawn(now_, job);
   };
   copies_.copy().on_withdrawn = [this](const std::string& job) { cancelled_.add(job); };
-  const auto read_all = [this](Ms asked) { read_all_ = std::max(read_all_.value_or(asked), asked); };
+  const auto read_all = [this](Ms asked) {
+    read_all_ = std::max(read_all_.value_or(asked), asked);
+  };
   front_.view().on_read_all = read_all;
-  // A late word of a cancellation may come between its record's end and the reading of its final state.
-  front_.view().on_over = copies_.copy().on_over = [this](const std::string& job) { cancelled_.over(job); };
+  // A late word of a cancellation may come between its record's end and the reading of its final
+  // state.
+  front_.view().on_over =
+      copies_.copy().on_over = [this](const std::string& job) { cancelled_.over(job); };
   front_.may_tell_withdrawn = [this](Ms now, const std::string& job) {
-    return now >= leadership_.bound_until() || !cancelled_.contains(job) || cancelled_.is_taken(job);
+    return now >= leadership_.bound_until() || !cancelled_.contains(job) ||
+           cancelled_.is_taken(job);
   };
   front_.may_await = [this] { return levels_.level().active >= kAwaitsLevel; };
   leadership_.knows_until = [this] { return knows_until(); };
   leadership_.on_won = [this, read_all](Ms now) {
     vouchers_.begin();
-    leader_ = std::make_unique<Leader>(out_, store_, leadership_, levels_, platform_, operator_, random_(), wall_minus_steady_);
+    leader_ = std::make_unique<Leader>(out_, store_, leadership_, levels_, platform_, operator_,
+                                       random_(), wall_minus_steady_);
     leader_->set_step_rate(step_rate_);
     leader_->is_withdrawn = [this](const std::string& job) { return cancelled_.contains(job); };
     leader_->final_of = [this](const std::string& job) { return copies_.copy().final_of(job); };
@@ -74,12 +90,14 @@
     if (!types_.empty()) leader_->set_types(types_);
     leader_->begin(now, levels_.lost());
     if (levels_.lost()) {
-      rebuilder_ = std::make_unique<Rebuilder>(out_, store_, levels_, copies_.copy(), platform_, leadership_.term(), leadership_.key_version(), [this](Ms t) {
-        past_rebuilder_ = std::move(rebuilder_);
-        out_.figures().add(telemetry::Count::rebuilds);
-        relay_.lead(t);
-        if (leader_) leader_->load(t);
-      });
+      rebuilder_ =
+          std::make_unique<Rebuilder>(out_, store_, levels_, copies_.copy(), platform_,
+                                      leadership_.term(), leadership_.key_version(), [this](Ms t) {
+                                        past_rebuilder_ = std::move(rebuilder_);
+                                        out_.figures().add(telemetry::Count::rebuilds);
+                                        relay_.lead(t);
+                                        if (leader_) leader_->load(t);
+                                      });
       rebuilder_->on_withdrawn([this](const std::string& job) { cancelled_.add(job); });
       rebuilder_->on_deposed = [this](Ms t, const char* why) { leadership_.resign(t, why); };
       rebuilder_->start(now);
@@ -93,14 +111,17 @@
     if (levels_.serving()) out_.peer(node, wire::encode(sign_of_life()));
   };
   levels_.on_serving = [this](Ms now) { begin(now); };
-  levels_.on_unsupported = [this](Ms now) { leadership_.resign(now, "the stored state is of a level that this version does not know"); };
+  levels_.on_unsupported = [this](Ms now) {
+    leadership_.resign(now, "the stored state is of a level that this version does not know");
+  };
   levels_.on_loss = [this](Ms now) {
     leadership_.state_lost(now);
     front_.state_lost();
     relay_.state_lost();
     copies_.forget();
   };
-  front_.on_contradiction = copies_.on_contradiction = [this](Ms now) { levels_.behind(now, "record"); };
+  front_.on_contradiction =
+      copies_.on_contradiction = [this](Ms now) { levels_.behind(now, "record"); };
   front_.on_read = [this](const std::string& key, std::uint64_t stamp) { copies_.saw(key, stamp); };
   front_.on_told = [this](const rebuild::Copy& told) {
     if (!levels_.heeds()) return;
@@ -138,8 +159,8 @@
   return !platform_.peers.empty() && store_.unreachable(now) && levels_.members().up_now(now) == 0;
 }
 
-// What the others do not need of the store's write rate is the leader's: with a quarter of it fixed for each of two
-// followers that used a twentieth, a fleet's bookkeeping waited for half a minute.
+// What the others do not need of the store's write rate is the leader's: with a quarter of it fixed
+// for each of two followers that used a twentieth, a fleet's bookkeeping waited for half a minute.
 void Controller::share_writes(Ms now) {
   if (!leadership_.leading()) return;
   std::optional<double> sum = 0;
@@ -165,7 +186,8 @@
 }
 
 std::pair<std::uint64_t, std::uint64_t> Controller::cost() const {
-  return leader_ ? std::pair{leader_->work(), leader_->reports()} : std::pair<std::uint64_t, std::uint64_t>{};
+  return leader_ ? std::pair{leader_->work(), leader_->reports()}
+                 : std::pair<std::uint64_t, std::uint64_t>{};
 }
 
 void Controller::tick(Ms now, std::int64_t wall_ms) {
@@ -176,7 +198,8 @@
   store_.pump(now);
   levels_.tick(now);
   unpark(now);
-  // Neither a sign of life, by which others would send workers here, nor anything by which it could come to lead.
+  // Neither a sign of life, by which others would send workers here, nor anything by which it could
+  // come to lead.
   if (!levels_.serving()) {
     if (begun_) relay_.tick(now);
     return;
@@ -202,7 +225,8 @@
   if (leader_) {
     leader_->tick(now);
     // Workers that reach the others but not this node: one of the others serves them better.
-    if (leader_ && leader_->last_detour() > now - kPeerSilentMs && now - leader_->last_direct() > kDeafMs)
+    if (leader_ && leader_->last_detour() > now - kPeerSilentMs &&
+        now - leader_->last_direct() > kDeafMs)
       leadership_.resign(now, "workers reach only the other controllers");
   }
   if (now >= next_ping_) {
@@ -231,8 +255,8 @@
   }
 }
 
-// The leader reads the machine types from the cloud and stores them; everybody else reads the store,
-// so that a node started while the cloud is down can still validate.
+// The leader reads the machine types from the cloud and stores them; everybody else reads the
+// store, so that a node started while the cloud is down can still validate.
 void Controller::fetch_types(Ms now) {
   next_types_ = now + (types_.empty() ? kTypesRetryMs : kTypesMs);
   if (fetching_types_) return;
@@ -253,45 +277,54 @@
   });
 }
 
-// Under the key of the active level first: right after a switch they may still stand under the other.
+// Under the key of the active level first: right after a switch they may still stand under the
+// other.
 void Controller::read_types(Ms now) {
   const bool moved = levels_.level().active >= kTypesLevel;
   const auto read = [this](Ms t, const char* key, std::function<void(Ms)> otherwise) {
-    store_.get(t, Rank::low, key, [this, otherwise = std::move(otherwise)](Ms t2, int status, std::string_view body) {
-      const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
-      auto types = item ? wire::parse_types(item->value) : std::nullopt;
-      if (types && !types->empty()) {
-        fetching_types_ = false;
-        return use_types(t2, std::move(*types));
-      }
-      otherwise(t2);
-    });
+    store_.get(t, Rank::low, key,
+               [this, otherwise = std::move(otherwise)](Ms t2, int status, std::string_view body) {
+                 const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
+                 auto types = item ? wire::parse_types(item->value) : std::nullopt;
+                 if (types && !types->empty()) {
+                   fetching_types_ = false;
+                   return use_types(t2, std::move(*types));
+                 }
+                 otherwise(t2);
+               });
   };
   const auto give_up = [this](Ms) { fetching_types_ = false; };
   if (!levels_.heeds()) return read(now, kTypesKey, give_up);
-  read(now, moved ? kMovedTypesKey : kTypesKey, [read, moved, give_up](Ms t) { read(t, moved ? kTypesKey : kMovedTypesKey, give_up); });
+  read(now, moved ? kMovedTypesKey : kTypesKey,
+       [read, moved, give_up](Ms t) { read(t, moved ? kTypesKey : kMovedTypesKey, give_up); });
 }
 
 void Controller::store_types(Ms now) {
   const auto& level = levels_.level();
   const auto text = wire::encode(types_);
-  if (types_.empty() || storing_types_ || !leadership_.leading() || (text == types_text_ && types_form_ == level.active)) return;
+  if (types_.empty() || storing_types_ || !leadership_.leading() ||
+      (text == types_text_ && types_form_ == level.active))
+    return;
   wire::Txn txn;
   txn.if_version("leader", leadership_.key_version());
-  // A version from before levels that finds an empty list there is not healthy, and has no users to tell 404 of what it
-  // does not know: it heeds no loss. One that runs reads it again within a minute.
+  // A version from before levels that finds an empty list there is not healthy, and has no users to
+  // tell 404 of what it does not know: it heeds no loss. One that runs reads it again within a
+  // minute.
   if (level.active >= kTypesLevel)
     txn.put(kMovedTypesKey, text).put(kTypesKey, wire::encode(std::vector<wire::MachineType>{}));
   else
     txn.put(kTypesKey, text);
   if (level.active < kTypesLevel && level.high >= kTypesLevel) txn.drop(kMovedTypesKey);
   storing_types_ = true;
-  store_.commit(now, Rank::leader, txn, [this, text, form = level.active, term = leadership_.term()](Ms, int status, std::string_view) {
-    storing_types_ = false;
-    if (status != 200 || term != leadership_.term()) return;  // again with the next look
-    types_text_ = text;
-    types_form_ = form;
-  });
+  store_.commit(now, Rank::leader, txn,
+                [this, text, form = level.active, term = leadership_.term()](Ms, int status,
+                                                                             std::string_view) {
+                  storing_types_ = false;
+                  if (status != 200 || term != leadership_.term())
+                    return;  // again with the next look
+                  types_text_ = text;
+                  types_form_ = form;
+                });
 }
 
 void Controller::use_types(Ms, std::vector<wire::MachineType> types) {
@@ -313,14 +346,16 @@
     if (!allow(Method::get)) return;
     if (alone(now)) return out_.reply(request, 503, wire::error_body("cut off"), kRetryAfterS);
     // A node that does not know the machine types yet can't take submissions.
-    if (!front_.knows_types() || !levels_.serving()) return out_.reply(request, 503, wire::error_body("starting"), kRetryAfterS);
+    if (!front_.knows_types() || !levels_.serving())
+      return out_.reply(request, 503, wire::error_body("starting"), kRetryAfterS);
     return out_.reply(request, 200, "{}");
   }
   if (path == "/agent/beat") {
     if (allow(Method::post)) beat(now, request, body, now + kRelayTimeoutMs);
     return;
   }
-  if (path.starts_with("/work") && (!levels_.serving() || levels_.lost())) return front_.refuse(request, telemetry::Refusal::level);
+  if (path.starts_with("/work") && (!levels_.serving() || levels_.lost()))
+    return front_.refuse(request, telemetry::Refusal::level);
   if (path == "/work") {
     if (allow(Method::post)) front_.submit(now, wall_ms, request, body);
     return;
@@ -328,7 +363,8 @@
   if (path.starts_with(kWork)) {
     auto rest = path.substr(kWork.size());
     if (rest.ends_with(kAbort)) {
-      if (allow(Method::post)) front_.cancel(now, request, std::string(rest.substr(0, rest.size() - kAbort.size())));
+      if (allow(Method::post))
+        front_.cancel(now, request, std::string(rest.substr(0, rest.size() - kAbort.size())));
       return;
     }
     if (rest.find('/') == std::string_view::npos) {
@@ -339,11 +375,13 @@
   out_.reply(request, 404, wire::error_body("no such path"));
 }
 
-// Reports that came without a leader are answered as soon as there is one. Sent away at once, a worker
-// goes round the nodes, loses 4 s at each one that is down, and its lease runs out before it is back.
+// Reports that came without a leader are answered as soon as there is one. Sent away at once, a
+// worker goes round the nodes, loses 4 s at each one that is down, and its lease runs out before it
+// is back.
 void Controller::unpark(Ms now) {
   if (parked_.empty()) return;
-  const bool led = levels_.serving() && !leadership_.leader().empty() && (leadership_.leading() || leadership_.leader() != platform_.node);
+  const bool led = levels_.serving() && !leadership_.leader().empty() &&
+                   (leadership_.leading() || leadership_.leader() != platform_.node);
   auto waiting = std::exchange(parked_, {});
   for (auto& p : waiting) {
     if (led && now < p.until)
@@ -364,17 +402,22 @@
     if (relay_.send_home(now, request, *report)) return;
     return leader_->report(now, request, std::move(*report), Leader::Way::direct);
   }
-  // Without the right to act: name the leader, or send the worker on to the next node, at once where this one reaches nobody:
-  // three seconds of waiting for a leader's answer at each report were the worker's, not this node's.
+  // Without the right to act: name the leader, or send the worker on to the next node, at once
+  // where this one reaches nobody: three seconds of waiting for a leader's answer at each report
+  // were the worker's, not this node's.
   const bool cut_off = alone(now);
-  if (!cut_off && levels_.serving() && !leadership_.leader().empty() && leadership_.leader() != platform_.node) {
+  if (!cut_off && levels_.serving() && !leadership_.leader().empty() &&
+      leadership_.leader() != platform_.node) {
     const auto report = wire::parse_report(body);
     if (!report) return out_.reply(request, 400, wire::error_body("not a report"));
     if (relay_.pass_on(now, request, *report, body, until)) return;
     return out_.reply(request, 421, wire::redirect(relay_.home(now, *report)));
   }
-  if (levels_.unsupported() || cut_off) return out_.reply(request, 503, wire::error_body("not this node"));
-  if (parked_.size() >= std::max(kRelayMachines, static_cast<std::size_t>(platform_.max_connections))) return out_.reply(request, 503, wire::error_body("no leader"));
+  if (levels_.unsupported() || cut_off)
+    return out_.reply(request, 503, wire::error_body("not this node"));
+  if (parked_.size() >=
+      std::max(kRelayMachines, static_cast<std::size_t>(platform_.max_connections)))
+    return out_.reply(request, 503, wire::error_body("no leader"));
   parked_.push_back({request, std::string(body), until});
 }
 
@@ -417,7 +460,8 @@
     auto c = leader_->counts(id);
     return done(now, c ? std::optional(Front::Counts{c->done, c->running}) : std::nullopt);
   }
-  if (leadership_.leader().empty() || leadership_.leader() == platform_.node) return done(now, std::nullopt);
+  if (leadership_.leader().empty() || leadership_.leader() == platform_.node)
+    return done(now, std::nullopt);
   // Polls answered by one read ask in one message, sent when this input has been dealt with.
   asking_.until = now + kAskMs;
   asking_.ids.push_back(id);
@@ -443,8 +487,9 @@
   asked_[m.id] = std::exchange(asking_, {});
 }
 
-// No cancellation that was told before this is unknown here, but for those that are told later than it: docs/safety.md, "Every
-// cancellation that was told". Whoever knows of a loss tells nobody anything, so that there the time does not run.
+// No cancellation that was told before this is unknown here, but for those that are told later than
+// it: docs/safety.md, "Every cancellation that was told". Whoever knows of a loss tells nobody
+// anything, so that there the time does not run.
 Ms Controller::knows_until() const {
   if (levels_.lost()) return INT64_MAX;
   if (!read_all_) return 0;
@@ -457,9 +502,13 @@
   const bool silent = leadership_.must_be_silent(now);
   if (silent && silent_since_ == 0) {
     silent_since_ = now;
-    if (read_all_) out_.log(Event::leader_silent, leadership_.term(), vouchers_.missing(now - unknowing_ms(platform_)));
+    if (read_all_)
+      out_.log(Event::leader_silent, leadership_.term(),
+               vouchers_.missing(now - unknowing_ms(platform_)));
   } else if (!silent && silent_since_ != 0) {
-    if (read_all_ && leadership_.leading()) out_.log(Event::leader_speaks, leadership_.term(), static_cast<double>(now - silent_since_) / 1000);
+    if (read_all_ && leadership_.leading())
+      out_.log(Event::leader_speaks, leadership_.term(),
+               static_cast<double>(now - silent_since_) / 1000);
     silent_since_ = 0;
   }
 }
@@ -480,7 +529,8 @@
   out_.peer(node, wire::encode(yes));
 }
 
-// The promise alone keeps the others from taking over; what it vouches for is what the right to act goes by.
+// The promise alone keeps the others from taking over; what it vouches for is what the right to act
+// goes by.
 void Controller::promised(Ms now, const std::string& node, const wire::PeerMessage& m) {
   const auto promise = leadership_.granted(now, node, m.id);
   const auto vouch = promise ? wire::decode_vouch(m.text) : std::nullopt;
@@ -554,7 +604,9 @@
     const auto counts = wire::decode_counts(m->text);
     for (std::size_t i = 0; i < asked.done.size(); ++i) {
       const bool known = counts && i < counts->size() && (*counts)[i].known;
-      asked.done[i](now, known ? std::optional(Front::Counts{(*counts)[i].done, (*counts)[i].running}) : std::nullopt);
+      asked.done[i](now, known
+                             ? std::optional(Front::Counts{(*counts)[i].done, (*counts)[i].running})
+                             : std::nullopt);
     }
   }
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -15,17 +15,20 @@
 class Controller {
  public:
   // `support`: the levels of the stored state that this program reads and writes.
-  Controller(settings::Platform platform, std::uint64_t seed, settings::Operator op = {}, rollout::Support support = {});
+  Controller(settings::Platform platform, std::uint64_t seed, settings::Operator op = {},
+             rollout::Support support = {});
 
   void start(Ms now, std::int64_t wall_ms);
-  void request(Ms now, std::int64_t wall_ms, std::uint64_t request, Method method, std::string_view path,
-               std::string_view body);
+  void request(Ms now, std::int64_t wall_ms, std::uint64_t request, Method method,
+               std::string_view path, std::string_view body);
   void response(Ms now, std::uint64_t call, int status, std::string_view body);
   void peer(Ms now, const std::string& node, std::string_view bytes);
   void tick(Ms now, std::int64_t wall_ms);
 
   bool wants_replay() const { return leader_ && leader_->wants_replay(); }
-  std::uint64_t replay(Ms now, std::uint64_t steps) { return leader_ ? leader_->replay(now, steps) : 0; }
+  std::uint64_t replay(Ms now, std::uint64_t steps) {
+    return leader_ ? leader_->replay(now, steps) : 0;
+  }
   // Measured by whoever drives the core: replay steps in a millisecond of processor time.
   void set_step_rate(double steps_per_ms);
   // While leading: machines and tasks that placement has looked at, and reports taken.
@@ -34,7 +37,9 @@
   Effects take();
   // GET on the peers' side: /metrics. Empty: no such page.
   std::string page(Ms now, std::string_view path);
-  void logged(std::size_t lines) { out_.figures().add(telemetry::Count::log_lines, static_cast<double>(lines)); }
+  void logged(std::size_t lines) {
+    out_.figures().add(telemetry::Count::log_lines, static_cast<double>(lines));
+  }
   bool leading() const { return leadership_.leading(); }
   const wire::Level& level() const { return levels_.level(); }
   bool serving() const { return levels_.serving(); }
@@ -49,7 +54,8 @@
   void use_types(Ms now, std::vector<wire::MachineType> types);
   void read_types(Ms now);   // from the store
   void store_types(Ms now);  // by the leader, where they don't stand there as they should
-  void ask_counts(Ms now, const std::string& id, std::function<void(Ms, std::optional<Front::Counts>)> done);
+  void ask_counts(Ms now, const std::string& id,
+                  std::function<void(Ms, std::optional<Front::Counts>)> done);
 
   settings::Platform platform_;
   settings::Operator operator_;
@@ -59,7 +65,7 @@
   Copies copies_;
   vouching::Cancelled cancelled_;  // known here, by whatever way
   vouching::Vouchers vouchers_;
-  std::optional<Ms> read_all_;     // everything that the store held then is known here
+  std::optional<Ms> read_all_;  // everything that the store held then is known here
   Leadership leadership_;
   Front front_;
   Relay relay_;
@@ -99,14 +105,15 @@
   void promised(Ms now, const std::string& node, const wire::PeerMessage& m);
   wire::PeerMessage sign_of_life() const;
   void share_writes(Ms now);
-  // Neither the state service nor another controller has been heard for a while: whoever asks is better served elsewhere.
+  // Neither the state service nor another controller has been heard for a while: whoever asks is
+  // better served elsewhere.
   bool alone(Ms now) const;
   struct Need {
     Ms at = 0;
     double writes_per_s = 0;
   };
   std::unordered_map<std::string, Need> needs_;  // of the other controllers, as they last said
-  Asked asking_;  // by this input
+  Asked asking_;                                 // by this input
   std::unordered_map<std::uint64_t, Asked> asked_;
   std::uint64_t next_ask_ = 1;
   std::string exposition_;
--- a/src/core/copies.cpp
+++ b/src/core/copies.cpp
@@ -16,7 +16,8 @@
   if (!key.starts_with(kProg) || slash < kProg.size()) return std::nullopt;
   ProgressKey k{key.substr(kProg.size(), slash - kProg.size()), 0};
   const auto [end, ec] = std::from_chars(key.data() + slash + 1, key.data() + key.size(), k.chunk);
-  return ec == std::errc() && end == key.data() + key.size() ? std::optional(std::move(k)) : std::nullopt;
+  return ec == std::errc() && end == key.data() + key.size() ? std::optional(std::move(k))
+                                                             : std::nullopt;
 }
 
 Copies::Copies(StoreClient& store) : store_(store), copy_(kCopyFinals) {
@@ -30,8 +31,8 @@
   verify(now);
 }
 
-// A store that went back a little and was written to since tells no revision below one that was seen. But a key's stamp
-// never falls, and final states are never deleted.
+// A store that went back a little and was written to since tells no revision below one that was
+// seen. But a key's stamp never falls, and final states are never deleted.
 void Copies::verify(Ms now) {
   if (now < verify_at_) return;
   verify_at_ = now + kCopyMs;
@@ -42,12 +43,16 @@
 void Copies::verify(Ms now, Newest& newest, bool stays) {
   if (newest.open || newest.key.empty()) return;
   newest.open = true;
-  store_.get(now, Rank::low, newest.key, [this, &newest, stays, known = newest.stamp, epoch = epoch_](Ms t, int status, std::string_view body) {
-    if (epoch != epoch_) return;
-    newest.open = false;
-    const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
-    if (((item && item->version < known) || (status == 404 && stays)) && on_contradiction) on_contradiction(t);
-  });
+  store_.get(
+      now, Rank::low, newest.key,
+      [this, &newest, stays, known = newest.stamp, epoch = epoch_](Ms t, int status,
+                                                                   std::string_view body) {
+        if (epoch != epoch_) return;
+        newest.open = false;
+        const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
+        if (((item && item->version < known) || (status == 404 && stays)) && on_contradiction)
+          on_contradiction(t);
+      });
 }
 
 void Copies::saw(const std::string& key, std::uint64_t stamp) {
@@ -71,36 +76,40 @@
   r.open = true;
   r.next = now + kCopyMs;
   if (!r.loaded) return load(now, r);
-  store_.call(now, Rank::low, Method::get, wire::watch_path(r.prefix, r.revision, 0), {}, [this, &r, epoch = epoch_](Ms, int status, std::string_view body) {
-    if (epoch != epoch_) return;
-    r.open = false;
-    const auto page = status == 200 ? wire::parse_watch(body) : std::nullopt;
-    if (status == 410) {
-      r.loaded = false;
-      r.revision = 0;
-      r.after.clear();
-    }
-    if (!page) return;
-    // What was dropped stays until the job's final state comes: a record never goes without one.
-    for (const auto& e : page->events)
-      if (!e.deleted) take(e.key, e.value, e.version);
-    r.revision = std::max(r.revision, page->revision);
-  });
+  store_.call(now, Rank::low, Method::get, wire::watch_path(r.prefix, r.revision, 0), {},
+              [this, &r, epoch = epoch_](Ms, int status, std::string_view body) {
+                if (epoch != epoch_) return;
+                r.open = false;
+                const auto page = status == 200 ? wire::parse_watch(body) : std::nullopt;
+                if (status == 410) {
+                  r.loaded = false;
+                  r.revision = 0;
+                  r.after.clear();
+                }
+                if (!page) return;
+                // What was dropped stays until the job's final state comes: a record never goes
+                // without one.
+                for (const auto& e : page->events)
+                  if (!e.deleted) take(e.key, e.value, e.version);
+                r.revision = std::max(r.revision, page->revision);
+              });
 }
 
-// A page each tick at the most: a store with a million final states has five thousand, and users' polls come first.
+// A page each tick at the most: a store with a million final states has five thousand, and users'
+// polls come first.
 void Copies::load(Ms now, Reading& r) {
-  store_.range(now, Rank::low, r.prefix, r.after, [this, &r, epoch = epoch_](Ms t, int status, std::string_view body) {
-    if (epoch != epoch_) return;
-    const auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
-    r.open = false;
-    if (!page) return;
-    if (r.after.empty()) r.revision = page->revision;
-    for (const auto& i : page->items) take(i.key, i.value, i.version);
-    r.loaded = !page->more || page->items.empty();
-    r.after = r.loaded ? std::string() : page->items.back().key;
-    if (!r.loaded) r.next = t + kTickMs;
-  });
+  store_.range(now, Rank::low, r.prefix, r.after,
+               [this, &r, epoch = epoch_](Ms t, int status, std::string_view body) {
+                 if (epoch != epoch_) return;
+                 const auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
+                 r.open = false;
+                 if (!page) return;
+                 if (r.after.empty()) r.revision = page->revision;
+                 for (const auto& i : page->items) take(i.key, i.value, i.version);
+                 r.loaded = !page->more || page->items.empty();
+                 r.after = r.loaded ? std::string() : page->items.back().key;
+                 if (!r.loaded) r.next = t + kTickMs;
+               });
 }
 
 void Copies::take(const std::string& key, const nlohmann::json& value, std::uint64_t stamp) {
--- a/src/core/copies.hpp
+++ b/src/core/copies.hpp
@@ -1,5 +1,6 @@
-// Keeps this node's copy of the stored state (rebuild/copy.hpp) up to date: unfinished jobs come from the reads by which
-// users' polls are answered, progress and final states from two readings of their own a second.
+// Keeps this node's copy of the stored state (rebuild/copy.hpp) up to date: unfinished jobs come
+// from the reads by which users' polls are answered, progress and final states from two readings of
+// their own a second.
 #pragma once
 #include "core/store_client.hpp"
 #include "rebuild/copy.hpp"
@@ -11,10 +12,11 @@
   explicit Copies(StoreClient& store);
 
   std::function<void(Ms)> on_contradiction;  // a final state that stood in the store is not there
-  void tick(Ms now);  // while the stored state has an identity
+  void tick(Ms now);                         // while the stored state has an identity
   // A key as it stood in the store. The newest is read again each second: see verify().
   void saw(const std::string& key, std::uint64_t stamp);
-  void forget();      // where it stands in the store: it has lost something, or was rebuilt. The copy itself stays
+  void forget();  // where it stands in the store: it has lost something, or was rebuilt. The copy
+                  // itself stays
   rebuild::Copy& copy() { return copy_; }
   const rebuild::Copy& copy() const { return copy_; }
 
--- a/src/core/effects.hpp
+++ b/src/core/effects.hpp
@@ -28,7 +28,7 @@
   std::string path, body;
   Ms timeout_ms = 0;
   bool urgent = false;  // never waits for a connection: the lead hangs on it
-  bool watch = false;  // held open by the other side; not to share a busy connection
+  bool watch = false;   // held open by the other side; not to share a busy connection
 };
 struct HttpReply {
   std::uint64_t request = 0;
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -14,8 +14,12 @@
 
 namespace hitchfront::core {
 
-inline std::string live_key(std::string_view id) { return "live/" + std::string(id); }
-inline std::string over_key(std::string_view id) { return "over/" + std::string(id); }
+inline std::string live_key(std::string_view id) {
+  return "live/" + std::string(id);
+}
+inline std::string over_key(std::string_view id) {
+  return "over/" + std::string(id);
+}
 
 class Front {
  public:
@@ -27,10 +31,10 @@
   using AskCounts = std::function<void(Ms, const std::string& id,
                                        std::function<void(Ms, std::optional<Counts>)>)>;
 
-  // `copy`: what users were told is in it at once. `sure`: whether an id that the store does not know may be called so.
-  // `heard`: whether it may be accepted as new.
-  Front(Outbox& out, StoreClient& store, const settings::Platform& platform, AskCounts ask, rebuild::Copy& copy, std::function<bool(Ms)> sure,
-        std::function<bool(Ms)> heard);
+  // `copy`: what users were told is in it at once. `sure`: whether an id that the store does not
+  // know may be called so. `heard`: whether it may be accepted as new.
+  Front(Outbox& out, StoreClient& store, const settings::Platform& platform, AskCounts ask,
+        rebuild::Copy& copy, std::function<bool(Ms)> sure, std::function<bool(Ms)> heard);
 
   void set_types(std::vector<wire::MachineType> types) { types_ = std::move(types); }
   bool knows_types() const { return !types_.empty(); }
@@ -41,16 +45,22 @@
   // The user is to come again; nothing has been decided.
   void refuse(std::uint64_t request, telemetry::Refusal why, int status = 503);
   void tick(Ms now) { view_.tick(now); }
-  void refresh(Ms now) { view_.ask(now, {}, [](Ms, bool, const LiveView::Job*) {}); }  // of the copy of unfinished jobs
+  void refresh(Ms now) {
+    view_.ask(now, {}, [](Ms, bool, const LiveView::Job*) {});
+  }  // of the copy of unfinished jobs
   void state_lost() { view_.forget(); }
-  // What the store says of a job is less than what is known to have been stored: proof that it has lost something.
+  // What the store says of a job is less than what is known to have been stored: proof that it has
+  // lost something.
   std::function<void(Ms)> on_contradiction;
   // Tasks of it may be launched from now on: known to the others before the first of them is.
   void marked(const std::string& id, const wire::LiveRecord& record) { told_live(id, record); }
-  // Something that a user is about to be told: the other controllers get it with the same input's messages, before.
+  // Something that a user is about to be told: the other controllers get it with the same input's
+  // messages, before.
   std::function<void(const rebuild::Copy& told)> on_told;
-  std::function<void(const std::string& key, std::uint64_t stamp)> on_read;  // an unfinished job's record
-  // Whether a user may be told now that this job, which is not over, is cancelled (docs/safety.md, "Every cancellation that was told").
+  std::function<void(const std::string& key, std::uint64_t stamp)>
+      on_read;  // an unfinished job's record
+  // Whether a user may be told now that this job, which is not over, is cancelled (docs/safety.md,
+  // "Every cancellation that was told").
   std::function<bool(Ms, const std::string& id)> may_tell_withdrawn;
   // Whether every controller knows jobs that await others.
   std::function<bool()> may_await;
@@ -65,13 +75,18 @@
   };
   void look_up(Ms now, const std::string& id, std::function<void(Ms, const Found&)> done);
   // `again`: tried once more where it is refused and the job is still unknown.
-  void accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, bool again);
+  void accept(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record,
+              bool again);
   // A submission that awaits others: each of them must have been accepted.
-  void accept_awaiting(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record);
-  void look_up_awaited(Ms now, std::uint64_t request, const std::string& id, const wire::LiveRecord& record, std::vector<std::string> unknown);
+  void accept_awaiting(Ms now, std::uint64_t request, const std::string& id,
+                       const wire::LiveRecord& record);
+  void look_up_awaited(Ms now, std::uint64_t request, const std::string& id,
+                       const wire::LiveRecord& record, std::vector<std::string> unknown);
   std::optional<wire::BadField> cannot_be_awaited(const std::string& id) const;
-  bool is_cancelled(const std::string& id) const;  // as far as is known here without asking the store
-  // Whether a job that needs these, directly or through others, is cancelled with one of them, by what is stored.
+  bool is_cancelled(
+      const std::string& id) const;  // as far as is known here without asking the store
+  // Whether a job that needs these, directly or through others, is cancelled with one of them, by
+  // what is stored.
   enum class Needs { nothing_cancelled, something_cancelled, unknown };
   struct NeedsSearch {
     std::vector<std::string> open;
@@ -79,13 +94,17 @@
   };
   using OnNeeds = std::function<void(Ms now, Needs needs)>;
   void search_needs(Ms now, const std::shared_ptr<NeedsSearch>& search, const OnNeeds& done);
-  // Calls `otherwise` unless the job has to be cancelled with one that it needs. Then that is stored and told; nobody is to
-  // be told that it waits because no leader has come to it.
-  void unless_cancelled_with(Ms now, std::uint64_t request, const std::string& id, const std::vector<std::string>& awaits,
+  // Calls `otherwise` unless the job has to be cancelled with one that it needs. Then that is
+  // stored and told; nobody is to be told that it waits because no leader has come to it.
+  void unless_cancelled_with(Ms now, std::uint64_t request, const std::string& id,
+                             const std::vector<std::string>& awaits,
                              std::function<void(Ms now)> otherwise);
-  void tell_unfinished(Ms now, std::uint64_t request, const std::string& id, bool marked, bool launched);
-  void tell_final(Ms now, std::uint64_t request, const std::string& id, const wire::OverRecord& record);
-  // A repeat of what this node knows to have been accepted; by the read that polls share, so that it costs no write.
+  void tell_unfinished(Ms now, std::uint64_t request, const std::string& id, bool marked,
+                       bool launched);
+  void tell_final(Ms now, std::uint64_t request, const std::string& id,
+                  const wire::OverRecord& record);
+  // A repeat of what this node knows to have been accepted; by the read that polls share, so that
+  // it costs no write.
   void known_again(Ms now, std::uint64_t request, const std::string& id);
   void final_status(Ms now, std::uint64_t request, const std::string& id, bool known);
   // For good.
@@ -95,7 +114,8 @@
   void tell_withdrawn(Ms now, std::uint64_t request, const std::string& id, std::string body);
   std::optional<wire::BadField> can_never_run(const wire::Job& job) const;
   void remember(const std::string& id, wire::OverRecord record);
-  std::optional<wire::OverRecord> known_final(const std::string& id) const;  // without asking the store
+  std::optional<wire::OverRecord> known_final(
+      const std::string& id) const;  // without asking the store
 
   Outbox& out_;
   StoreClient& store_;
@@ -110,7 +130,8 @@
   void told_live(const std::string& id, const wire::LiveRecord& record);
   void told_final(const std::string& id, const wire::OverRecord& record);
   std::vector<wire::MachineType> types_;
-  std::unordered_map<std::string, std::vector<std::uint64_t>> finals_asked_;  // requests that wait, by job
+  std::unordered_map<std::string, std::vector<std::uint64_t>>
+      finals_asked_;  // requests that wait, by job
   std::unordered_map<std::string, wire::OverRecord> final_;
   std::deque<std::string> final_order_;
 };
--- a/src/core/hearing.hpp
+++ b/src/core/hearing.hpp
@@ -1,5 +1,6 @@
-// Two books that the leader keeps of each machine: whether what it is told reaches it, and which launches sent to it directly
-// may still be carried out. docs/safety.md, "A machine that does not hear" and "Direct launches". No clock: time comes in.
+// Two books that the leader keeps of each machine: whether what it is told reaches it, and which
+// launches sent to it directly may still be carried out. docs/safety.md, "A machine that does not
+// hear" and "Direct launches". No clock: time comes in.
 #pragma once
 #include <algorithm>
 #include <cstdint>
@@ -11,8 +12,9 @@
 
 namespace hitchfront::core {
 
-// What it is told does not reach it, though its reports arrive: launches that never show, a token that stays behind, a session
-// that ends though its reports were answered. A hint for placement; no proof of absence hangs on it.
+// What it is told does not reach it, though its reports arrive: launches that never show, a token
+// that stays behind, a session that ends though its reports were answered. A hint for placement; no
+// proof of absence hangs on it.
 class Hearing {
  public:
   // Nothing came of so many answers in a row; true: it counts as deaf from now on.
@@ -52,8 +54,8 @@
   Ms since_ = 0, probe_at_ = 0;
 };
 
-// Attempts of a machine's session whose direct launch may still be carried out: never cleared, nor replaced by another attempt
-// of the same task, or it would start them again.
+// Attempts of a machine's session whose direct launch may still be carried out: never cleared, nor
+// replaced by another attempt of the same task, or it would start them again.
 class Unsettled {
  public:
   using TaskKey = std::pair<std::uint64_t, std::uint32_t>;  // job index, task
@@ -63,7 +65,8 @@
   bool empty() const { return launched_.empty(); }
   bool contains(std::uint64_t attempt) const { return launched_.contains(attempt); }
   bool of_task(TaskKey key) const {
-    return std::any_of(launched_.begin(), launched_.end(), [&](const auto& u) { return u.second == key; });
+    return std::any_of(launched_.begin(), launched_.end(),
+                       [&](const auto& u) { return u.second == key; });
   }
 
  private:
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -32,10 +32,14 @@
   if (p == to) return;
   const auto count = [this](TaskPhase x) -> std::uint32_t& {
     switch (x) {
-      case TaskPhase::waiting: return waiting;
-      case TaskPhase::placed: return placed;
-      case TaskPhase::doubt: return doubt;
-      case TaskPhase::done: return done;
+      case TaskPhase::waiting:
+        return waiting;
+      case TaskPhase::placed:
+        return placed;
+      case TaskPhase::doubt:
+        return doubt;
+      case TaskPhase::done:
+        return done;
     }
     return waiting;
   };
@@ -57,7 +61,8 @@
 void JobState::merge_chunk(std::size_t chunk, std::uint64_t stamp, const std::string& text) {
   const std::size_t from = chunk * kChunkTasks;
   chunk_version[chunk] = stamp;
-  const auto progress = wire::decode_progress(text, static_cast<std::uint32_t>(std::min<std::size_t>(spec.tasks - from, kChunkTasks)));
+  const auto progress = wire::decode_progress(
+      text, static_cast<std::uint32_t>(std::min<std::size_t>(spec.tasks - from, kChunkTasks)));
   if (!progress) return;
   chunk_form[chunk] = progress->form;
   for (const auto i : progress->done) {
@@ -72,7 +77,8 @@
 
 std::size_t JobState::of_other_form(wire::ProgressForm form) const {
   std::size_t n = 0;
-  for (std::size_t c = 0; c < chunks(); ++c) n += chunk_version[c] != 0 && !wire::is_of_form(chunk_form[c], form) ? 1 : 0;
+  for (std::size_t c = 0; c < chunks(); ++c)
+    n += chunk_version[c] != 0 && !wire::is_of_form(chunk_form[c], form) ? 1 : 0;
   return n;
 }
 
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -22,14 +22,16 @@
 
 struct JobState {
   wire::Job spec;
-  std::uint64_t index = 0;  // of this process, never reused
+  std::uint64_t index = 0;       // of this process, never reused
   std::int64_t accepted_ms = 0;  // wall clock
   Ms submitted = 0;              // steady time that corresponds to the acceptance
-  Ms seen = 0;                   // the same, or when the last job that it awaits was done: waits count from here
+  Ms seen = 0;  // the same, or when the last job that it awaits was done: waits count from here
   bool withdrawn = false;
-  bool waits = false;  // for other jobs: nothing of it may start, and it holds no part of a limit or guarantee
+  bool waits = false;  // for other jobs: nothing of it may start, and it holds no part of a limit
+                       // or guarantee
   wire::Priority priority = wire::Priority::normal;  // its own, or that of a job that awaits it
-  // Withdrawn: up to this instant an answer may renew the lease of a machine on which a task of it goes on.
+  // Withdrawn: up to this instant an answer may renew the lease of a machine on which a task of it
+  // goes on.
   Ms renew_until = 0;
   std::uint64_t version = 0;  // of live/<job>
   std::uint32_t mark = 0;     // stored: tasks below it may have been launched
@@ -38,16 +40,17 @@
   std::string owner;  // whose last jobs predict this one
   bool owed = false;  // within its team's guarantee, with the team's earlier unfinished jobs
   std::uint32_t unsettled = 0;  // placements whose direct launch may still be carried out
-  std::uint32_t running = 0;  // placements whose task runs or saves
+  std::uint32_t running = 0;    // placements whose task runs or saves
   std::uint32_t somewhere = 0;  // placements, those of tasks that are done elsewhere too
   std::uint64_t types = 0;
 
-  std::set<std::uint32_t> unsure;  // tasks that an earlier leader may have launched anywhere, until its doubt is over
+  std::set<std::uint32_t>
+      unsure;  // tasks that an earlier leader may have launched anywhere, until its doubt is over
   std::vector<TaskPhase> phase;
   std::vector<std::uint16_t> places;  // machines that each task may be on
-  std::vector<bool> stored;  // completion is in the store
-  std::deque<std::uint32_t> again;  // waiting tasks below `fresh`
-  std::uint32_t fresh = 0;          // tasks from here on never left `waiting`
+  std::vector<bool> stored;           // completion is in the store
+  std::deque<std::uint32_t> again;    // waiting tasks below `fresh`
+  std::uint32_t fresh = 0;            // tasks from here on never left `waiting`
   std::uint32_t waiting = 0, placed = 0, doubt = 0, done = 0, stored_done = 0;
   std::vector<std::uint32_t> per_zone;  // placed tasks
 
@@ -57,8 +60,8 @@
   bool writing = false, resync = false;
   Ms write_after = 0;
   bool largest = false;  // among the largest of its class
-  bool ran = false;    // a task of it was seen running, or is done
-  Ms progress_at = 0;  // the next write of progress, at the earliest
+  bool ran = false;      // a task of it was seen running, or is done
+  Ms progress_at = 0;    // the next write of progress, at the earliest
 
   Ms not_before = 0;  // pause after failures
   double run_sum_s = 0;
@@ -74,13 +77,17 @@
   std::int64_t next_waiting();
   void set(std::uint32_t task, TaskPhase to);
 
-  std::string chunk_text(std::size_t chunk, wire::ProgressForm form) const;  // value of a progress chunk
-  void merge_chunk(std::size_t chunk, std::uint64_t stamp, const std::string& text);  // as it stands in the store
+  std::string chunk_text(std::size_t chunk,
+                         wire::ProgressForm form) const;  // value of a progress chunk
+  void merge_chunk(std::size_t chunk, std::uint64_t stamp,
+                   const std::string& text);  // as it stands in the store
   // Stored chunks that are not of this form.
   std::size_t of_other_form(wire::ProgressForm form) const;
   std::string chunk_key(std::size_t chunk) const;
   std::size_t chunks() const { return chunk_version.size(); }
-  bool progress_waits() const { return std::find(chunk_dirty.begin(), chunk_dirty.end(), true) != chunk_dirty.end(); }
+  bool progress_waits() const {
+    return std::find(chunk_dirty.begin(), chunk_dirty.end(), true) != chunk_dirty.end();
+  }
 };
 
 }  // namespace hitchfront::core
--- a/src/core/leader.cpp
+++ b/src/core/leader.cpp
@@ -23,8 +23,9 @@
 
 }  // namespace
 
-Leader::Leader(Outbox& out, StoreClient& store, Leadership& leadership, Levels& levels, const Platform& platform,
-               const Operator& op, std::uint64_t seed, std::int64_t wall_minus_steady)
+Leader::Leader(Outbox& out, StoreClient& store, Leadership& leadership, Levels& levels,
+               const Platform& platform, const Operator& op, std::uint64_t seed,
+               std::int64_t wall_minus_steady)
     : out_(out),
       store_(store),
       leadership_(leadership),
@@ -36,8 +37,12 @@
       wall_minus_steady_(wall_minus_steady),
       roster_on_(op.get("roster", {}) != 0),
       direct_on_(roster_on_ && op.get("direct", {}) != 0),
-      roster_({std::min(kRosterChunkMost, static_cast<std::size_t>(static_cast<double>(platform.store.value_bytes()) * kRosterChunkShare)), kRosterBatchMost,
-               platform.store.transaction_changes, std::max(1.0, platform.store.writes_per_s * kStoreShare * (platform.nodes > 1 ? kLeaderShare : 1) * kRosterShare),
+      roster_({std::min(kRosterChunkMost,
+                        static_cast<std::size_t>(static_cast<double>(platform.store.value_bytes()) *
+                                                 kRosterChunkShare)),
+               kRosterBatchMost, platform.store.transaction_changes,
+               std::max(1.0, platform.store.writes_per_s * kStoreShare *
+                                 (platform.nodes > 1 ? kLeaderShare : 1) * kRosterShare),
                kRosterSoonMs}),
       zones_(platform.zones),
       cloud_(platform.cloud_rps * kStoreShare, platform.cloud_rps),
@@ -46,7 +51,8 @@
       selector_(seed + 1, kLambda, admitted(op)) {
   for (const auto& t : platform.teams)
     teams_.push_back({t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max, 0, 0});
-  guests_ = std::any_of(teams_.begin(), teams_.end(), [](const Team& t) { return t.cpus > 0 || t.gpus > 0; });
+  guests_ = std::any_of(teams_.begin(), teams_.end(),
+                        [](const Team& t) { return t.cpus > 0 || t.gpus > 0; });
   policy_ = selector_.chosen();
   params_.slowdown_bound_s = kSlowdownBoundS;
   params_.charge_unit_s = op.get("charge_unit", {});
@@ -65,7 +71,8 @@
   // still. After this long every worker that has not heard from us has lost its lease.
   doubt_over_ = now + lease_ms(platform_);
   next_select_ = now + kTickMs;
-  // The leader of before the loss may not know of it, and acts for as long as its lease and what it was promised last.
+  // The leader of before the loss may not know of it, and acts for as long as its lease and what it
+  // was promised last.
   if (rebuilding)
     doubt_over_ += kLeaderTtlMs + kPromiseMs + kLeaseMarginMs;
   else
@@ -73,33 +80,38 @@
 }
 
 void Leader::load_live(Ms now, std::string after, Ms asked) {
-  store_.range(now, Rank::leader, kLivePrefix, after, mine([this, after, asked](Ms t, int status, std::string_view body) {
-    auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
-    if (!page) return load_live(t, after, asked);
-    if (after.empty()) revision_ = std::max(leader_version_, page->revision);
-    for (auto& i : page->items) add_job(t, i.key.substr(5), i.value, i.version);
-    if (page->more && !page->items.empty()) return load_live(t, page->items.back().key, asked);
-    if (on_read_all) on_read_all(asked);
-    load_progress(t, "");
-  }));
+  store_.range(now, Rank::leader, kLivePrefix, after,
+               mine([this, after, asked](Ms t, int status, std::string_view body) {
+                 auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
+                 if (!page) return load_live(t, after, asked);
+                 if (after.empty()) revision_ = std::max(leader_version_, page->revision);
+                 for (auto& i : page->items) add_job(t, i.key.substr(5), i.value, i.version);
+                 if (page->more && !page->items.empty())
+                   return load_live(t, page->items.back().key, asked);
+                 if (on_read_all) on_read_all(asked);
+                 load_progress(t, "");
+               }));
 }
 
 void Leader::load_progress(Ms now, std::string after) {
-  store_.range(now, Rank::leader, kProgPrefix, after, mine([this, after](Ms t, int status, std::string_view body) {
-    auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
-    if (!page) return load_progress(t, after);
-    for (auto& i : page->items) {
-      const auto slash = i.key.rfind('/');
-      if (slash == std::string::npos || slash < 5 || !i.value.is_string()) continue;
-      auto* job = find(i.key.substr(5, slash - 5));
-      const auto chunk = static_cast<std::size_t>(std::strtoul(i.key.c_str() + slash + 1, nullptr, 10));
-      if (job == nullptr || chunk >= job->chunks()) continue;
-      job->merge_chunk(chunk, i.version, i.value.get<std::string>());
-      job->chunk_dirty[chunk] = false;
-    }
-    if (page->more && !page->items.empty()) return load_progress(t, page->items.back().key);
-    load_roster(t, "");
-  }));
+  store_.range(now, Rank::leader, kProgPrefix, after,
+               mine([this, after](Ms t, int status, std::string_view body) {
+                 auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
+                 if (!page) return load_progress(t, after);
+                 for (auto& i : page->items) {
+                   const auto slash = i.key.rfind('/');
+                   if (slash == std::string::npos || slash < 5 || !i.value.is_string()) continue;
+                   auto* job = find(i.key.substr(5, slash - 5));
+                   const auto chunk = static_cast<std::size_t>(
+                       std::strtoul(i.key.c_str() + slash + 1, nullptr, 10));
+                   if (job == nullptr || chunk >= job->chunks()) continue;
+                   job->merge_chunk(chunk, i.version, i.value.get<std::string>());
+                   job->chunk_dirty[chunk] = false;
+                 }
+                 if (page->more && !page->items.empty())
+                   return load_progress(t, page->items.back().key);
+                 load_roster(t, "");
+               }));
 }
 
 void Leader::loaded(Ms now) {
@@ -129,11 +141,16 @@
     }
   }
   for (const auto* m : fleet_) machines += m->rostered ? 1 : 0;
-  log(Event::takeover_loaded, term_, jobs_.size(), leadership_.roster_whole() ? "whole" : roster_on_ ? "partial" : "none", machines, placed, doubt);
+  log(Event::takeover_loaded, term_, jobs_.size(),
+      leadership_.roster_whole() ? "whole"
+      : roster_on_               ? "partial"
+                                 : "none",
+      machines, placed, doubt);
   std::vector<std::string> ids;
   for (auto& [id, job] : jobs_) ids.push_back(id);
   for (const auto& id : ids)
-    if (auto* job = find(id); job != nullptr && (job->complete() || job->withdrawn)) persist(now, *job);
+    if (auto* job = find(id); job != nullptr && (job->complete() || job->withdrawn))
+      persist(now, *job);
   watch_live(now);
   dirty_ = true;
 }
@@ -176,8 +193,8 @@
   job.owner = owner_of(job.spec);
   job.types = 0;
   for (std::size_t i = 0; i < types_.size() && i < 64; ++i)
-    if (!job.spec.types ||
-        std::find(job.spec.types->begin(), job.spec.types->end(), types_[i].name) != job.spec.types->end())
+    if (!job.spec.types || std::find(job.spec.types->begin(), job.spec.types->end(),
+                                     types_[i].name) != job.spec.types->end())
       job.types |= 1ULL << i;
   if (job.spec.zone && job.zone < 0) job.types = 0;  // a zone that isn't ours: nowhere to run
 }
@@ -188,51 +205,56 @@
     return;
   }
   next_watch_ = now + kWatchPaceMs;
-  store_.watch(now, kLivePrefix, revision_, mine([this, asked = now](Ms t, int status, std::string_view body) {
-    auto page = status == 200 ? wire::parse_watch(body) : std::nullopt;
-    if (!page) {
-      if (status == 410) {
-        // Too far behind: what we have missed can't be told, so begin again as a new leader would.
-        leadership_.lost(t, "the watch fell too far behind");
-        return;
-      }
-      watch_at_ = t + kStoreRetryMs;
-      return;
-    }
-    revision_ = std::max(revision_, page->revision);
-    for (auto& e : page->events) {
-      const std::string id = e.key.substr(5);
-      auto* job = find(id);
-      if (e.deleted) {
-        if (job != nullptr && e.version > job->version) remove_job(t, id);
-        continue;
-      }
-      if (job == nullptr) {
-        job = add_job(t, id, e.value, e.version);
-      } else if (e.version > job->version) {
-        job->version = e.version;
-        if (auto r = wire::decode_live(e.value)) {
-          job->mark = std::max(job->mark, r->mark);
-          if (r->withdrawn && !job->withdrawn) job_withdrawn(t, *job);
-        }
-      }
-      if (job != nullptr && job->withdrawn) persist(t, *job);
-    }
-    if (on_read_all) on_read_all(asked);
-    resolve_awaited(t);
-    watch_live(t);
-    schedule(t);
-  }));
+  store_.watch(now, kLivePrefix, revision_,
+               mine([this, asked = now](Ms t, int status, std::string_view body) {
+                 auto page = status == 200 ? wire::parse_watch(body) : std::nullopt;
+                 if (!page) {
+                   if (status == 410) {
+                     // Too far behind: what we have missed can't be told, so begin again as a new
+                     // leader would.
+                     leadership_.lost(t, "the watch fell too far behind");
+                     return;
+                   }
+                   watch_at_ = t + kStoreRetryMs;
+                   return;
+                 }
+                 revision_ = std::max(revision_, page->revision);
+                 for (auto& e : page->events) {
+                   const std::string id = e.key.substr(5);
+                   auto* job = find(id);
+                   if (e.deleted) {
+                     if (job != nullptr && e.version > job->version) remove_job(t, id);
+                     continue;
+                   }
+                   if (job == nullptr) {
+                     job = add_job(t, id, e.value, e.version);
+                   } else if (e.version > job->version) {
+                     job->version = e.version;
+                     if (auto r = wire::decode_live(e.value)) {
+                       job->mark = std::max(job->mark, r->mark);
+                       if (r->withdrawn && !job->withdrawn) job_withdrawn(t, *job);
+                     }
+                   }
+                   if (job != nullptr && job->withdrawn) persist(t, *job);
+                 }
+                 if (on_read_all) on_read_all(asked);
+                 resolve_awaited(t);
+                 watch_live(t);
+                 schedule(t);
+               }));
 }
 
-// Nothing is stored for it before the record has been read: another controller has told it, which had it stored.
+// Nothing is stored for it before the record has been read: another controller has told it, which
+// had it stored.
 void Leader::withdrawn(Ms now, const std::string& id) {
   if (auto* job = find(id); job != nullptr && !job->withdrawn) job_withdrawn(now, *job);
 }
 
-// The least that it can be whenever the cancellation was told: not before the job was accepted, by the clocks of two nodes.
+// The least that it can be whenever the cancellation was told: not before the job was accepted, by
+// the clocks of two nodes.
 Ms Leader::renew_until(const JobState& job) const {
-  return job.submitted - static_cast<Ms>(2 * platform_.time_bound_ms) + settings::unknowing_ms(platform_);
+  return job.submitted - static_cast<Ms>(2 * platform_.time_bound_ms) +
+         settings::unknowing_ms(platform_);
 }
 
 void Leader::job_withdrawn(Ms now, JobState& job) {
@@ -245,13 +267,15 @@
   for (auto* m : fleet_) {
     if (job.somewhere == 0) break;
     bool any = false;
-    for (auto it = m->tasks.lower_bound({job.index, 0}); it != m->tasks.end() && it->first.first == job.index;) {
+    for (auto it = m->tasks.lower_bound({job.index, 0});
+         it != m->tasks.end() && it->first.first == job.index;) {
       auto next = std::next(it);
       if (it->second.stage == Stage::assigned) {
         vacate(*m, it);
       } else {
         any = true;
-        if (!it->second.stopping) out_.figures().add(telemetry::Count::stops, telemetry::Stop::withdrawn);
+        if (!it->second.stopping)
+          out_.figures().add(telemetry::Count::stops, telemetry::Stop::withdrawn);
         it->second.stopping = m->stopping = true;
         it->second.grace_s = 0;
       }
@@ -268,7 +292,8 @@
   auto& job = *it->second;
   served_.over(now, who(job), job.withdrawn, job.ran);
   for (auto* m : fleet_)
-    for (auto p = m->tasks.lower_bound({job.index, 0}); p != m->tasks.end() && p->first.first == job.index;) {
+    for (auto p = m->tasks.lower_bound({job.index, 0});
+         p != m->tasks.end() && p->first.first == job.index;) {
       auto next = std::next(p);
       vacate(*m, p);
       p = next;
@@ -281,7 +306,8 @@
   dirty_ = true;
 }
 
-// ---- accounting -----------------------------------------------------------------------------------
+// ---- accounting
+// -----------------------------------------------------------------------------------
 
 void Leader::count_team(const JobState& job, double n) {
   if (job.team < 0) return;
@@ -333,8 +359,9 @@
   dirty_ = true;
   // Only when it is nowhere else may the task go back to waiting.
   if (--job.places[task] != 0 || job.phase[task] != TaskPhase::placed) return;
-  // That it isn't here says nothing of where an earlier leader may have launched it: a late copy of a report, refuted by the
-  // next, once made a task that ran on a machine not yet heard free to start elsewhere.
+  // That it isn't here says nothing of where an earlier leader may have launched it: a late copy of
+  // a report, refuted by the next, once made a task that ran on a machine not yet heard free to
+  // start elsewhere.
   if (doubt_open_ && job.unsure.contains(task)) {
     job.set(task, TaskPhase::doubt);
     count_team(job, 1);
@@ -370,7 +397,8 @@
 void Leader::gauge(Ms now) const {
   using telemetry::Gauge;
   auto& f = out_.figures();
-  double waiting = 0, placed = 0, doubt = 0, up = 0, booting = 0, lost = 0, leaving = 0, held = 0, unheard = 0;
+  double waiting = 0, placed = 0, doubt = 0, up = 0, booting = 0, lost = 0, leaving = 0, held = 0,
+         unheard = 0;
   for (const auto& [id, job] : jobs_) {
     waiting += job->waiting;
     placed += job->placed;
@@ -393,7 +421,9 @@
   f.set(Gauge::doubt, doubt + unheard);
   f.set(Gauge::held, held);
   for (const auto& r : served_.rows()) {
-    const auto tell = [&](const char* state, double v) { f.served(telemetry::name(r.by), r.name, state, v); };
+    const auto tell = [&](const char* state, double v) {
+      f.served(telemetry::name(r.by), r.name, state, v);
+    };
     tell("accepted", r.accepted);
     tell("started", r.started);
     tell("done", r.done);
@@ -416,14 +446,17 @@
   open.reserve(jobs_.size());
   for (const auto& [id, job] : jobs_)
     if (!job->withdrawn && !job->waits) open.push_back({who(*job), job->ran, now - job->seen});
-  for (const auto& r : served_.look(now, open)) log(Event::served_low, telemetry::name(r.by), r.name, r.share, r.waiting, r.oldest_s, static_cast<std::uint64_t>(r.accepted));
+  for (const auto& r : served_.look(now, open))
+    log(Event::served_low, telemetry::name(r.by), r.name, r.share, r.waiting, r.oldest_s,
+        static_cast<std::uint64_t>(r.accepted));
 }
 
 // What a stall looks like from inside, five seconds apart.
 void Leader::tell_state(Ms now) {
   if (now < next_state_) return;
   next_state_ = now + kStateMs;
-  std::size_t up = 0, fit = 0, booting = 0, assigned = 0, stopping = 0, waiting = 0, owed = 0, limited = 0;
+  std::size_t up = 0, fit = 0, booting = 0, assigned = 0, stopping = 0, waiting = 0, owed = 0,
+              limited = 0;
   double cpus = 0, placed = 0, running = 0;
   for (const auto* m : fleet_) {
     up += m->up && !m->lost ? 1 : 0;
@@ -445,7 +478,8 @@
     if (job->owed) owed += job->waiting;
     if (!in_limit(*job)) limited += job->waiting;
   }
-  log(Event::fleet_state, up, fit, booting, cpus, placed, running, assigned, stopping, waiting, owed, limited);
+  log(Event::fleet_state, up, fit, booting, cpus, placed, running, assigned, stopping, waiting,
+      owed, limited);
 }
 
 void Leader::resign() {
@@ -470,7 +504,8 @@
   std::vector<std::string> unwritten;
   for (const auto& [id, job] : jobs_)
     if (!job->writing && now >= job->write_after &&
-        (job->resync || job->write_after != 0 || (now >= job->progress_at && job->progress_waits())))
+        (job->resync || job->write_after != 0 ||
+         (now >= job->progress_at && job->progress_waits())))
       unwritten.push_back(id);
   for (const auto& id : unwritten)
     if (auto* job = find(id)) {
@@ -478,7 +513,8 @@
       persist(now, *job);
     }
   resolve_awaited(now);
-  // Pauses that end and machines heard again change what can be placed without an event of their own.
+  // Pauses that end and machines heard again change what can be placed without an event of their
+  // own.
   if (now >= stir_at_) {
     stir_at_ = now + kStirMs;
     dirty_ = true;
--- a/src/core/leader.hpp
+++ b/src/core/leader.hpp
@@ -35,10 +35,12 @@
 
 class Leader {
  public:
-  Leader(Outbox& out, StoreClient& store, Leadership& leadership, Levels& levels, const settings::Platform& platform,
-         const settings::Operator& op, std::uint64_t seed, std::int64_t wall_minus_steady);
+  Leader(Outbox& out, StoreClient& store, Leadership& leadership, Levels& levels,
+         const settings::Platform& platform, const settings::Operator& op, std::uint64_t seed,
+         std::int64_t wall_minus_steady);
 
-  // `rebuilding`: the stored state is being rebuilt; reports are answered, nothing is decided before load().
+  // `rebuilding`: the stored state is being rebuilt; reports are answered, nothing is decided
+  // before load().
   void begin(Ms now, bool rebuilding = false);
   void load(Ms now) { load_live(now, "", now); }
   void tick(Ms now);
@@ -61,9 +63,11 @@
   // Machines and tasks looked at so far: what placement costs, whatever the processor.
   std::uint64_t work() const { return work_; }
   std::uint64_t reports() const { return reports_; }
-  // A job is known to be cancelled, by whatever way: its tasks are stopped, and nothing of it is launched.
+  // A job is known to be cancelled, by whatever way: its tasks are stopped, and nothing of it is
+  // launched.
   void withdrawn(Ms now, const std::string& job);
-  // The same, asked of a job that is read only now, or of a task that a machine lists while nothing has been read yet.
+  // The same, asked of a job that is read only now, or of a task that a machine lists while nothing
+  // has been read yet.
   std::function<bool(const std::string& job)> is_withdrawn;
   // A final state that this node knows to be stored.
   std::function<std::optional<wire::OverRecord>(const std::string& job)> final_of;
@@ -72,7 +76,8 @@
   // A job's launch mark was stored; before any launch beyond it.
   std::function<void(const wire::LiveRecord& record)> on_marked;
   void gauge(Ms now) const;  // sets the gauges of the figures
-  std::function<std::size_t()> other_forms;  // values that others keep and that are not of the active level's form yet
+  std::function<std::size_t()>
+      other_forms;  // values that others keep and that are not of the active level's form yet
 
  private:
   enum class Stage : std::uint8_t { assigned, sent, fetching, running, saving };
@@ -81,19 +86,21 @@
     std::uint32_t task = 0;
     std::uint64_t attempt = 0;
     Stage stage = Stage::assigned;
-    Ms since = 0;      // assigned or launched
-    Ms run_since = 0;  // first seen running
+    Ms since = 0;                // assigned or launched
+    Ms run_since = 0;            // first seen running
     std::uint64_t sent_seq = 0;  // the report whose answer carried the launch
-    // The machine's session that it is of: as launched, or as listed by a report sent in this term. 0: not known.
+    // The machine's session that it is of: as launched, or as listed by a report sent in this term.
+    // 0: not known.
     std::uint64_t session = 0;
     bool stopping = false;
     bool room_given = false;  // its room is promised to another task already
     double grace_s = 0;
     Ms stop_sent = 0;
-    std::uint64_t listed = 0;  // the last report that listed it, by this leader's count
+    std::uint64_t listed = 0;   // the last report that listed it, by this leader's count
     std::uint64_t booking = 0;  // the roster's batch that names it
     bool booked = false;        // and that is stored: it may be launched
-    bool unsettled = false;     // launched by a direct command that may still be carried out: absence proves nothing
+    bool unsettled = false;  // launched by a direct command that may still be carried out: absence
+                             // proves nothing
   };
   using TaskKey = Unsettled::TaskKey;
   struct Machine {
@@ -105,26 +112,27 @@
     bool up = false;         // has reported
     bool confirmed = false;  // its last report was sent after hearing from this leader
     bool lost = false;       // its lease is over
-    bool rostered = false;   // by the stored roster it was up, or may have tasks; it has not spoken in this term
+    bool rostered =
+        false;  // by the stored roster it was up, or may have tasks; it has not spoken in this term
     bool emptying = false;  // its tasks move elsewhere, then it is returned
     bool draining = false, releasing = false, failed = false;
     bool vanished = false;  // the cloud's list, which had it or must have had it, lacks it
     Ms born = 0, last_report = 0, lease_over = 0, lost_at = 0, taken_at = 0, idle_since = 0;
-    std::uint64_t reserved_for = 0;  // job that waits for room here; set anew by each schedule()
-    std::uint32_t assigned = 0;      // placements not yet launched
-    bool stopping = false;           // some placement is, or was, to be stopped
-    double pace = 1;  // its tasks' run times against their jobs' means
-    Ms known = 0;  // to this leader, since
+    std::uint64_t reserved_for = 0;     // job that waits for room here; set anew by each schedule()
+    std::uint32_t assigned = 0;         // placements not yet launched
+    bool stopping = false;              // some placement is, or was, to be stopped
+    double pace = 1;                    // its tasks' run times against their jobs' means
+    Ms known = 0;                       // to this leader, since
     std::optional<std::uint64_t> held;  // report waiting for its answer
     Ms held_since = 0, held_most = 0;
     std::map<TaskKey, Placement> tasks;
     std::vector<wire::ReportedTask> reported;  // the newest report's
     std::uint64_t listed = 0;                  // that report, by this leader's count
-    Unsettled unsettled;  // of this session
-    bool direct_out = false;    // a direct launch waits for its answer
+    Unsettled unsettled;                       // of this session
+    bool direct_out = false;                   // a direct launch waits for its answer
     Hearing hearing;
     Ms answered_at = 0;
-    std::vector<int> images;                   // most recent last
+    std::vector<int> images;  // most recent last
   };
   struct Rental {
     std::string name;
@@ -137,7 +145,8 @@
     std::string name;
     double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // a limit may be infinite
     double used_cpus = 0, used_gpus = 0;
-    std::uint64_t held_for = 0;  // a job whose turn it is, and that the limit has no room for; set anew by each placement
+    std::uint64_t held_for = 0;  // a job whose turn it is, and that the limit has no room for; set
+                                 // anew by each placement
   };
 
   // loading
@@ -145,7 +154,8 @@
   void load_progress(Ms now, std::string after);
   void watch_live(Ms now);
   void loaded(Ms now);
-  JobState* add_job(Ms now, const std::string& id, const nlohmann::json& value, std::uint64_t version);
+  JobState* add_job(Ms now, const std::string& id, const nlohmann::json& value,
+                    std::uint64_t version);
   void resolve(JobState& job);  // names to indices, once machine types are known
   void remove_job(Ms now, const std::string& id);
   void job_withdrawn(Ms now, JobState& job);
@@ -156,7 +166,8 @@
   void inherit_priority(const JobState& job);
   void resolve_awaited(Ms now);
   void ask_final(Ms now, const std::string& name);
-  void settle_awaited(Ms now, const std::string& name, dependencies::Outcome outcome, bool just_now);
+  void settle_awaited(Ms now, const std::string& name, dependencies::Outcome outcome,
+                      bool just_now);
   void look_for_outcome(const std::string& name);
 
   // reports
@@ -168,11 +179,15 @@
   bool answer(Ms now, Machine& m, bool force);
   // What the newest report is answered with, launches aside.
   answers::Answer what_to_say(Ms now, Machine& m);
-  bool say(Ms now, std::uint64_t request, const std::string& machine, const std::string& addr, std::uint64_t session, const answers::Answer& a);
-  HttpCall to_machine(const std::string& addr, std::uint64_t session, const std::vector<wire::Command>& commands) const;
+  bool say(Ms now, std::uint64_t request, const std::string& machine, const std::string& addr,
+           std::uint64_t session, const answers::Answer& a);
+  HttpCall to_machine(const std::string& addr, std::uint64_t session,
+                      const std::vector<wire::Command>& commands) const;
   void stop_direct(Ms now, Machine& m);
   void launch_direct(Ms now, Machine& m);
-  void direct_answered(Ms now, const std::string& machine, std::uint64_t session, const std::vector<std::pair<TaskKey, std::uint64_t>>& launched, int status, std::string_view body);
+  void direct_answered(Ms now, const std::string& machine, std::uint64_t session,
+                       const std::vector<std::pair<TaskKey, std::uint64_t>>& launched, int status,
+                       std::string_view body);
   // The launches that may go out now; booked as sent.
   std::vector<wire::Command> launches(Ms now, Machine& m, std::size_t most);
   void not_heard(Ms now, Machine& m, std::uint32_t times = 1);
@@ -181,7 +196,8 @@
   bool nothing_left(const Machine& m) const;  // of what it listed
   void lease_check(Ms now);
   bool usable(Ms now, const Machine& m) const;
-  bool missed(Ms now, const Machine& m) const;  // silent for so long that it is most likely gone, or deaf
+  bool missed(Ms now,
+              const Machine& m) const;  // silent for so long that it is most likely gone, or deaf
 
   // accounting
   void occupy(Machine& m, JobState& job, std::uint32_t task, Placement p);
@@ -202,8 +218,8 @@
   bool entitled(const JobState& job) const;
   bool is_guest(const JobState& job) const;
   bool zone_allows(const JobState& job, int zone) const;
-  // When machines will have room, as far as one placement asked: the ends of a machine's tasks are worked out once, and
-  // machines are put in order once for all jobs that ask for the same.
+  // When machines will have room, as far as one placement asked: the ends of a machine's tasks are
+  // worked out once, and machines are put in order once for all jobs that ask for the same.
   struct Ends {
     struct Of {
       bool known = false;
@@ -213,7 +229,8 @@
       double when = 0;
       std::uint32_t at = 0;  // in `fleet`
     };
-    // Size, types, spot or not, zone, and the job itself where its other tasks decide what is allowed.
+    // Size, types, spot or not, zone, and the job itself where its other tasks decide what is
+    // allowed.
     using Wanted = std::tuple<double, double, double, std::uint64_t, bool, int, std::uint64_t>;
     std::vector<Machine*> fleet;
     std::size_t unreserved = 0;  // of these, kept for no job yet
@@ -227,7 +244,9 @@
   void has_image(Machine& m, int image);
   void mark_owed();
   void fill(Ms now, JobState& job, std::vector<Machine*>& open, std::uint32_t most);
-  bool has_begun(const JobState& job) const { return job.ran || job.placed > 0 || blame_.suspect(job.index); }
+  bool has_begun(const JobState& job) const {
+    return job.ran || job.placed > 0 || blame_.suspect(job.index);
+  }
   void set_stage(Placement& p, Stage stage);
   static bool counted(Stage s) { return s == Stage::running || s == Stage::saving; }
   void select(Ms now);
@@ -300,10 +319,12 @@
   std::uint64_t next_attempt_ = 1, next_rental_ = 1, next_job_ = 1;
   Ms doubt_over_ = 0, last_direct_ = 0, last_detour_ = 0;
   bool loaded_ = false, doubt_open_ = true, dirty_ = true, settled_ = false;
-  std::size_t nowhere_ = 0, silent_ = 0;  // tasks found on no machine, and machines that stayed silent
+  std::size_t nowhere_ = 0,
+              silent_ = 0;  // tasks found on no machine, and machines that stayed silent
 
   const bool roster_on_, direct_on_;  // direct_on_: launches may go to machines by themselves
-  bool guests_ = false;  // some team is guaranteed something, so that those without a guarantee come after it
+  bool guests_ =
+      false;  // some team is guaranteed something, so that those without a guarantee come after it
   // At the takeover: what the roster does not have is nowhere, whatever a late report says.
   bool handed_whole_ = false;
   roster::Roster roster_;
@@ -312,14 +333,17 @@
     std::uint64_t version = 0;
     std::vector<wire::RosterMachine> machines;
   };
-  std::vector<StoredChunk> stored_roster_;   // until loaded
-  std::map<std::uint32_t, Ms> reread_at_;    // chunks whose version in the store is not known
-  // Machines of the roster that are of no type known here: written again as they are until their leases are over.
+  std::vector<StoredChunk> stored_roster_;  // until loaded
+  std::map<std::uint32_t, Ms> reread_at_;   // chunks whose version in the store is not known
+  // Machines of the roster that are of no type known here: written again as they are until their
+  // leases are over.
   std::map<std::string, wire::RosterMachine> strangers_;
-  std::uint64_t whole_after_ = 0;  // once everything was stored after this batch, the roster is whole
+  std::uint64_t whole_after_ =
+      0;  // once everything was stored after this batch, the roster is whole
   bool making_whole_ = false;
   std::uint64_t revision_ = 0;
-  Ms watch_at_ = 0, next_watch_ = 0, next_cloud_ = 0, next_list_ = 0, next_select_ = 0, next_preempt_ = 0, next_migrate_ = 0;
+  Ms watch_at_ = 0, next_watch_ = 0, next_cloud_ = 0, next_list_ = 0, next_select_ = 0,
+     next_preempt_ = 0, next_migrate_ = 0;
   bool listing_ = false;
   std::unordered_set<std::string> seen_listed_;  // by the listing under way
   Ms listing_since_ = 0;
@@ -330,8 +354,8 @@
   std::vector<Team> teams_;
   std::unordered_map<std::string, std::unique_ptr<JobState>> jobs_;
   dependencies::Graph graph_;
-  // Awaited, and their outcomes are to be found out; true: it ended while this leader knew it as unfinished, so that its
-  // dependents' waits begin now.
+  // Awaited, and their outcomes are to be found out; true: it ended while this leader knew it as
+  // unfinished, so that its dependents' waits begin now.
   std::map<std::string, bool> unresolved_;
   std::set<std::string> asked_finals_;  // of those, whose final states the store is being asked for
   Ms resolve_at_ = 0;
--- a/src/core/leader_dependencies.cpp
+++ b/src/core/leader_dependencies.cpp
@@ -1,4 +1,5 @@
-// Jobs that await others: released and cancelled by what is stored of those. docs/safety.md, "Jobs that await others".
+// Jobs that await others: released and cancelled by what is stored of those. docs/safety.md, "Jobs
+// that await others".
 #include "core/front.hpp"
 #include "core/leader.hpp"
 #include "core/leader_parts.hpp"
@@ -33,8 +34,9 @@
   }
 }
 
-// What is awaited and not among the unfinished jobs is over, or is about to be read: the store is asked, and asked again
-// until it tells one or the other. Nothing is released by anything but a final state that is stored.
+// What is awaited and not among the unfinished jobs is over, or is about to be read: the store is
+// asked, and asked again until it tells one or the other. Nothing is released by anything but a
+// final state that is stored.
 void Leader::resolve_awaited(Ms now) {
   if (!loaded_ || unresolved_.empty() || now < resolve_at_) return;
   resolve_at_ = now + kTickMs;
@@ -56,20 +58,23 @@
 }
 
 void Leader::ask_final(Ms now, const std::string& name) {
-  store_.get(now, Rank::first, over_key(name), mine([this, name](Ms t, int status, std::string_view body) {
-    asked_finals_.erase(name);
-    const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
-    const auto record = item ? wire::decode_over(item->value) : std::nullopt;
-    if (!record) {
-      resolve_at_ = std::max(resolve_at_, t + kStoreRetryMs);
-      return;
-    }
-    const auto unresolved = unresolved_.extract(name);
-    settle_awaited(t, name, record->withdrawn ? Outcome::cancelled : Outcome::done, !unresolved.empty() && unresolved.mapped());
-  }));
+  store_.get(now, Rank::first, over_key(name),
+             mine([this, name](Ms t, int status, std::string_view body) {
+               asked_finals_.erase(name);
+               const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
+               const auto record = item ? wire::decode_over(item->value) : std::nullopt;
+               if (!record) {
+                 resolve_at_ = std::max(resolve_at_, t + kStoreRetryMs);
+                 return;
+               }
+               const auto unresolved = unresolved_.extract(name);
+               settle_awaited(t, name, record->withdrawn ? Outcome::cancelled : Outcome::done,
+                              !unresolved.empty() && unresolved.mapped());
+             }));
 }
 
-// `just_now`: its final state was stored at this moment, from which its dependents' waits are counted.
+// `just_now`: its final state was stored at this moment, from which its dependents' waits are
+// counted.
 void Leader::settle_awaited(Ms now, const std::string& name, Outcome outcome, bool just_now) {
   const auto consequences = graph_.settle(name, outcome);
   for (const auto& id : consequences.released) {
--- a/src/core/leader_machines.cpp
+++ b/src/core/leader_machines.cpp
@@ -1,8 +1,7 @@
-#include "core/leader.hpp"
-
 #include <algorithm>
 #include <cmath>
 
+#include "core/leader.hpp"
 #include "core/leader_parts.hpp"
 #include "settings/constants.hpp"
 
@@ -77,7 +76,8 @@
   std::erase(fleet_, it->second.get());
   machines_.erase(it);
   if (tombstones_.insert(name).second) tombstone_order_.push_back(name);
-  if (tombstone_order_.size() > std::max(kTombstones, static_cast<std::size_t>(platform_.max_connections))) {
+  if (tombstone_order_.size() >
+      std::max(kTombstones, static_cast<std::size_t>(platform_.max_connections))) {
     tombstones_.erase(tombstone_order_.front());
     tombstone_order_.pop_front();
   }
@@ -96,7 +96,8 @@
 
 std::string Leader::offer_text(int type, int zone, bool spot) const {
   return (type < 0 ? std::string("?") : types_[static_cast<std::size_t>(type)].name) + "/" +
-         (zone < 0 ? std::string("?") : zones_[static_cast<std::size_t>(zone)]) + (spot ? "/spot" : "/ordinary");
+         (zone < 0 ? std::string("?") : zones_[static_cast<std::size_t>(zone)]) +
+         (spot ? "/spot" : "/ordinary");
 }
 
 bool Leader::can_call_cloud(Ms now) {
@@ -127,17 +128,20 @@
   for (std::size_t i = 0; i < wanted.size(); ++i) {
     if (wanted[i] == 0) continue;
     for (auto left = wanted[i]; left > 0; left -= std::min(left, kRentMost)) {
-      rentals_.push_back({"r-" + std::to_string(term_) + "-" + std::to_string(next_rental_++), i, std::min(left, kRentMost),
-                          false, now});
+      rentals_.push_back({"r-" + std::to_string(term_) + "-" + std::to_string(next_rental_++), i,
+                          std::min(left, kRentMost), false, now});
       send_rental(now, rentals_.back());
     }
   }
 }
 
-// Rental calls that a round may make, so that returning and listing still have theirs. With one call for each offer a
-// fleet of a thousand took half a minute to rent, and the dear offers were asked before the cheap ones had run out.
+// Rental calls that a round may make, so that returning and listing still have theirs. With one
+// call for each offer a fleet of a thousand took half a minute to rent, and the dear offers were
+// asked before the cheap ones had run out.
 std::uint32_t Leader::rent_calls() const {
-  const double calls = platform_.cloud_rps * kStoreShare * static_cast<double>(kCloudRoundMs) / 1000 - kOtherCloudCalls;
+  const double calls =
+      platform_.cloud_rps * kStoreShare * static_cast<double>(kCloudRoundMs) / 1000 -
+      kOtherCloudCalls;
   return static_cast<std::uint32_t>(std::max(1.0, calls));
 }
 
@@ -153,38 +157,42 @@
   const auto& zone = zones_[static_cast<std::size_t>(o.zone)];
   c.body = wire::rent_request(r.name, type, zone, o.spot, r.count);
   c.timeout_ms = kCloudTimeoutMs;
-  out_.call(std::move(c), mine([this, name = r.name, type, zone](Ms t, int status, std::string_view body) {
-    auto it = std::find_if(rentals_.begin(), rentals_.end(), [&](const Rental& x) { return x.name == name; });
-    if (it == rentals_.end()) return;
-    it->in_flight = false;
-    const bool no_capacity = status == 503 && body.find("no capacity") != std::string_view::npos;
-    cloud_answered(t, status, no_capacity);
-    const auto& taken = offers_[it->offer];
-    const auto offer = offer_text(taken.type, taken.zone, taken.spot);
-    const bool spot = offers_[it->offer].spot;
-    if (status == 200) {
-      if (auto names = wire::parse_rented(body)) {
-        for (const auto& n : *names)
-          if (!machines_.contains(n) && !tombstones_.contains(n)) add_machine(t, n, type, zone, spot);
-        log(Event::machine_rented, offer, it->count, names->size());
-        out_.figures().add(telemetry::Count::rented, static_cast<double>(names->size()));
-        // Partly filled: there is no more of it for now.
-        if (names->size() < it->count) offer_blocked_[it->offer] = t + kNoCapacityMs;
-      }
-      rentals_.erase(it);
-    } else if (no_capacity) {
-      offer_blocked_[it->offer] = t + kNoCapacityMs;
-      log(Event::machine_refused, offer);
-      rentals_.erase(it);
-    } else if (status == 400) {
-      log(Event::cloud_malformed, offer);
-      offer_blocked_[it->offer] = t + kTypesMs;
-      rentals_.erase(it);
-    } else {
-      // Unknown or refused for now: the same name again, so that nothing is rented twice.
-      it->retry_at = t + kCloudRoundMs;
-    }
-  }));
+  out_.call(std::move(c),
+            mine([this, name = r.name, type, zone](Ms t, int status, std::string_view body) {
+              auto it = std::find_if(rentals_.begin(), rentals_.end(),
+                                     [&](const Rental& x) { return x.name == name; });
+              if (it == rentals_.end()) return;
+              it->in_flight = false;
+              const bool no_capacity =
+                  status == 503 && body.find("no capacity") != std::string_view::npos;
+              cloud_answered(t, status, no_capacity);
+              const auto& taken = offers_[it->offer];
+              const auto offer = offer_text(taken.type, taken.zone, taken.spot);
+              const bool spot = offers_[it->offer].spot;
+              if (status == 200) {
+                if (auto names = wire::parse_rented(body)) {
+                  for (const auto& n : *names)
+                    if (!machines_.contains(n) && !tombstones_.contains(n))
+                      add_machine(t, n, type, zone, spot);
+                  log(Event::machine_rented, offer, it->count, names->size());
+                  out_.figures().add(telemetry::Count::rented, static_cast<double>(names->size()));
+                  // Partly filled: there is no more of it for now.
+                  if (names->size() < it->count) offer_blocked_[it->offer] = t + kNoCapacityMs;
+                }
+                rentals_.erase(it);
+              } else if (no_capacity) {
+                offer_blocked_[it->offer] = t + kNoCapacityMs;
+                log(Event::machine_refused, offer);
+                rentals_.erase(it);
+              } else if (status == 400) {
+                log(Event::cloud_malformed, offer);
+                offer_blocked_[it->offer] = t + kTypesMs;
+                rentals_.erase(it);
+              } else {
+                // Unknown or refused for now: the same name again, so that nothing is rented twice.
+                it->retry_at = t + kCloudRoundMs;
+              }
+            }));
 }
 
 // How long an idle machine is worth keeping: the cheaper it is next to the dearest of its type, the
@@ -196,14 +204,16 @@
   return static_cast<Ms>(kKeepS * 1000 * (ratio * ratio - 1));
 }
 
-// Nothing waits, and a dear machine is kept by a few tasks that can save: they move to machines that
-// stay anyway. Tasks keep their progress but for the time to save. One machine at a time, or a small part
-// of a large fleet: one a second would empty a fleet of hundreds long after its work is done.
+// Nothing waits, and a dear machine is kept by a few tasks that can save: they move to machines
+// that stay anyway. Tasks keep their progress but for the time to save. One machine at a time, or a
+// small part of a large fleet: one a second would empty a fleet of hundreds long after its work is
+// done.
 void Leader::consolidate(Ms now) {
   for (const auto& [id, job] : jobs_)
     if (job->active() && job->waiting > 0 && !blame_.suspect(job->index)) return;
   // What is missing will wait too, when its leases are over: room is worth more than tidiness.
-  const auto gone = std::count_if(fleet_.begin(), fleet_.end(), [&](const Machine* m) { return missed(now, *m); });
+  const auto gone = std::count_if(fleet_.begin(), fleet_.end(),
+                                  [&](const Machine* m) { return missed(now, *m); });
   if (static_cast<double>(gone) > static_cast<double>(fleet_.size()) * kMissedShare) return;
   struct Stay {
     Machine* machine;
@@ -216,16 +226,19 @@
     if (m->emptying) ++emptying;
     if (!usable(now, *m) || m->tasks.empty()) continue;
     stay.push_back({m, m->room});
-    if (now - m->born < static_cast<Ms>(kLeastPaidS * 1000) || m->room.share_of(m->whole) < kNearlyEmpty) continue;
+    if (now - m->born < static_cast<Ms>(kLeastPaidS * 1000) ||
+        m->room.share_of(m->whole) < kNearlyEmpty)
+      continue;
     const bool movable = std::all_of(m->tasks.begin(), m->tasks.end(), [&](const auto& t) {
       const auto& p = t.second;
       const double ran = ran_s(now, p);
-      return p.stage == Stage::running && !p.stopping && p.job->spec.checkpoint_s > 0 && ran > kSettledS &&
-             (run_time(*p.job) - ran > kWorthMovingS || ran > run_time(*p.job));
+      return p.stage == Stage::running && !p.stopping && p.job->spec.checkpoint_s > 0 &&
+             ran > kSettledS && (run_time(*p.job) - ran > kWorthMovingS || ran > run_time(*p.job));
     });
     if (movable) leave.push_back(m);
   }
-  const auto most = std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(fleet_.size()) * kEmptyingShare));
+  const auto most = std::max<std::size_t>(
+      1, static_cast<std::size_t>(static_cast<double>(fleet_.size()) * kEmptyingShare));
   std::stable_sort(leave.begin(), leave.end(), [&](const Machine* a, const Machine* b) {
     if (std::abs(price_of(*a) - price_of(*b)) > 1e-9) return price_of(*a) > price_of(*b);
     return a->tasks.size() < b->tasks.size();
@@ -253,7 +266,8 @@
       p.grace_s = p.job->spec.save_s + kGraceSpareS;
     }
     log(Event::machine_emptied, m->name, m->tasks.size());
-    out_.figures().add(telemetry::Count::stops, telemetry::Stop::emptied, static_cast<double>(m->tasks.size()));
+    out_.figures().add(telemetry::Count::stops, telemetry::Stop::emptied,
+                       static_cast<double>(m->tasks.size()));
     if (!answer(now, *m, false)) stop_direct(now, *m);
   }
 }
@@ -266,17 +280,21 @@
     if (!m->releasing) {
       const Ms age = now - m->born;
       const auto boot = m->type < 0 ? 60.0 : types_[static_cast<std::size_t>(m->type)].boot_s;
-      // Counted from when this leader learned of it, too: after a takeover most machines are old and
-      // have not reported here yet, and returning them as stuck once cost nine running machines.
+      // Counted from when this leader learned of it, too: after a takeover most machines are old
+      // and have not reported here yet, and returning them as stuck once cost nine running
+      // machines.
       const bool stuck = !m->up && age > static_cast<Ms>(boot * 1000 * kStuckBoots) + kStuckMs &&
                          now - m->known > kStuckMs + lease_ms(platform_);
       const bool lost = m->lost && now - m->lost_at > kLostReturnMs;
       // Its notice has run out, or nothing is left on it: once returned, its tasks are surely gone.
-      const bool taken = m->vanished || (m->taken_at != 0 && ((m->tasks.empty() && nothing_left(*m)) || now - m->last_report > silent_ms(platform_)));
+      const bool taken =
+          m->vanished || (m->taken_at != 0 && ((m->tasks.empty() && nothing_left(*m)) ||
+                                               now - m->last_report > silent_ms(platform_)));
       const bool emptied = m->emptying && m->tasks.empty() && nothing_left(*m);
       const bool drained = m->draining && m->tasks.empty();
       // What replaces it is there, and it has had time to be heard of again.
-      const bool deaf = m->hearing.deaf() && m->tasks.empty() && now - m->hearing.deaf_since() > lease_ms(platform_) + kLostReturnMs;
+      const bool deaf = m->hearing.deaf() && m->tasks.empty() &&
+                        now - m->hearing.deaf_since() > lease_ms(platform_) + kLostReturnMs;
       const bool idle = m->up && m->confirmed && !m->lost && m->tasks.empty() && nothing_left(*m) &&
                         age >= static_cast<Ms>(kLeastPaidS * 1000) - kReturnWindowMs &&
                         unit - age % unit <= kReturnWindowMs && now - m->idle_since >= keep_ms(*m);
@@ -307,29 +325,33 @@
   c.body = wire::release_request(names);
   c.timeout_ms = kCloudTimeoutMs;
   out_.call(std::move(c), mine([this, names](Ms t, int status, std::string_view) {
-    release_in_flight_ = false;
-    cloud_answered(t, status);
-    if (status != 200) return;  // again in the next round
-    for (const auto& n : names) {
-      auto it = machines_.find(n);
-      if (it == machines_.end()) continue;
-      // The machine and everything on it is gone.
-      std::vector<TaskKey> keys;
-      for (const auto& [key, p] : it->second->tasks) keys.push_back(key);
-      for (const auto& key : keys) gone(t, *it->second, key);
-      forget_machine(t, n);
-    }
-    dirty_ = true;
-  }));
+              release_in_flight_ = false;
+              cloud_answered(t, status);
+              if (status != 200) return;  // again in the next round
+              for (const auto& n : names) {
+                auto it = machines_.find(n);
+                if (it == machines_.end()) continue;
+                // The machine and everything on it is gone.
+                std::vector<TaskKey> keys;
+                for (const auto& [key, p] : it->second->tasks) keys.push_back(key);
+                for (const auto& key : keys) gone(t, *it->second, key);
+                forget_machine(t, n);
+              }
+              dirty_ = true;
+            }));
 }
 
-// What is in no list though every list must have it by now is gone: taken without notice, or returned by an earlier leader. It
-// is returned at once, and the cloud's answer to that, not the list, proves that nothing is left on it. Waiting for leases
-// held two fifths of a fleet's tasks for 34 s after a wave.
+// What is in no list though every list must have it by now is gone: taken without notice, or
+// returned by an earlier leader. It is returned at once, and the cloud's answer to that, not the
+// list, proves that nothing is left on it. Waiting for leases held two fifths of a fleet's tasks
+// for 34 s after a wave.
 void Leader::listed_all(Ms now) {
-  const Ms sure = listing_since_ - static_cast<Ms>(platform_.cloud_list_lag_s * 1000 * kListOldest) - kListMs;
+  const Ms sure =
+      listing_since_ - static_cast<Ms>(platform_.cloud_list_lag_s * 1000 * kListOldest) - kListMs;
   for (auto* m : fleet_) {
-    if (m->vanished || m->releasing || m->lost || m->born >= sure || m->known >= listing_since_ || seen_listed_.contains(m->name)) continue;
+    if (m->vanished || m->releasing || m->lost || m->born >= sure || m->known >= listing_since_ ||
+        seen_listed_.contains(m->name))
+      continue;
     // Heard since the list may have been made: not gone then.
     if (m->up && now - m->last_report < kListMs) continue;
     m->vanished = true;
@@ -352,37 +374,38 @@
   c.path = wire::list_path(after, 500);
   c.timeout_ms = kCloudTimeoutMs;
   out_.call(std::move(c), mine([this](Ms t, int status, std::string_view body) {
-    listing_ = false;
-    cloud_answered(t, status);
-    auto page = status == 200 ? wire::parse_machines(body) : std::nullopt;
-    if (!page) return;
-    for (const auto& l : page->machines) {
-      seen_listed_.insert(l.name);
-      if (tombstones_.contains(l.name)) continue;
-      auto it = machines_.find(l.name);
-      Machine* m = it != machines_.end() ? it->second.get() : nullptr;
-      const Ms born = t - static_cast<Ms>(l.age_s * 1000);
-      if (m == nullptr) {
-        // An earlier leader's, or a rental that was carried out late: used or returned like any other.
-        m = add_machine(t, l.name, l.type, l.zone, l.spot);
-        if (m == nullptr) continue;
-        m->born = born;
-      }
-      // The age is as old as the list, so the true beginning is no later than this.
-      m->born = std::min(m->born, born);
-      if (m->addr.empty()) m->addr = l.addr;
-      if (l.status == wire::ListedMachine::Status::failed && !m->failed) {
-        m->failed = true;
-        log(Event::machine_failed, l.name);
-      }
-    }
-    if (page->more && !page->machines.empty()) {
-      listing_ = true;
-      list(t, page->machines.back().name);
-    } else {
-      listed_all(t);
-    }
-  }));
+              listing_ = false;
+              cloud_answered(t, status);
+              auto page = status == 200 ? wire::parse_machines(body) : std::nullopt;
+              if (!page) return;
+              for (const auto& l : page->machines) {
+                seen_listed_.insert(l.name);
+                if (tombstones_.contains(l.name)) continue;
+                auto it = machines_.find(l.name);
+                Machine* m = it != machines_.end() ? it->second.get() : nullptr;
+                const Ms born = t - static_cast<Ms>(l.age_s * 1000);
+                if (m == nullptr) {
+                  // An earlier leader's, or a rental that was carried out late: used or returned
+                  // like any other.
+                  m = add_machine(t, l.name, l.type, l.zone, l.spot);
+                  if (m == nullptr) continue;
+                  m->born = born;
+                }
+                // The age is as old as the list, so the true beginning is no later than this.
+                m->born = std::min(m->born, born);
+                if (m->addr.empty()) m->addr = l.addr;
+                if (l.status == wire::ListedMachine::Status::failed && !m->failed) {
+                  m->failed = true;
+                  log(Event::machine_failed, l.name);
+                }
+              }
+              if (page->more && !page->machines.empty()) {
+                listing_ = true;
+                list(t, page->machines.back().name);
+              } else {
+                listed_all(t);
+              }
+            }));
 }
 
 }  // namespace hitchfront::core
--- a/src/core/leader_parts.hpp
+++ b/src/core/leader_parts.hpp
@@ -12,35 +12,49 @@
 inline constexpr const char* kLivePrefix = "live/";
 inline constexpr const char* kProgPrefix = "prog/";
 
-inline portfolio::Size size_of(const wire::Job& j) { return {j.cpus, j.gpus, j.memory_gb}; }
+inline portfolio::Size size_of(const wire::Job& j) {
+  return {j.cpus, j.gpus, j.memory_gb};
+}
 
 // Whose last two jobs predict the next: a team's jobs of one class. Averaged over all of a team's
 // classes, as the design has it, a prediction mixes runs of 18 s with runs of 100 s.
-inline std::string owner_of(const wire::Job& j) { return j.team + "/" + j.job_class; }
+inline std::string owner_of(const wire::Job& j) {
+  return j.team + "/" + j.job_class;
+}
 
-inline telemetry::Served::Who who(const JobState& job) { return {job.spec.job_class, job.spec.team, job.largest}; }
+inline telemetry::Served::Who who(const JobState& job) {
+  return {job.spec.job_class, job.spec.team, job.largest};
+}
 
 // The longest that a worker's lease can last from an instant not before the sending of the report.
 inline Ms lease_ms(const settings::Platform& p) {
-  return static_cast<Ms>(std::ceil(p.lease_s * 1000 * (1 + 2 * settings::kDrift))) + settings::kLeaseMarginMs;
+  return static_cast<Ms>(std::ceil(p.lease_s * 1000 * (1 + 2 * settings::kDrift))) +
+         settings::kLeaseMarginMs;
 }
 
-inline Ms report_ms(const settings::Platform& p) { return static_cast<Ms>(p.report_s * 1000); }
+inline Ms report_ms(const settings::Platform& p) {
+  return static_cast<Ms>(p.report_s * 1000);
+}
 
-// Silence after which a machine is not counted on. A constant of 4 s, right for reports every 2 s, made a sixth of the
-// fleet unusable at any moment where they come every 5 s, and took back assignments just before they could be launched.
+// Silence after which a machine is not counted on. A constant of 4 s, right for reports every 2 s,
+// made a sixth of the fleet unusable at any moment where they come every 5 s, and took back
+// assignments just before they could be launched.
 inline Ms silent_ms(const settings::Platform& p) {
-  return std::max(settings::kSilentLeastMs, static_cast<Ms>(static_cast<double>(report_ms(p)) * settings::kSilentReports) + settings::kSilentSpareMs);
+  return std::max(settings::kSilentLeastMs,
+                  static_cast<Ms>(static_cast<double>(report_ms(p)) * settings::kSilentReports) +
+                      settings::kSilentSpareMs);
 }
 
 // Tasks on one machine past which nothing more is placed there.
 inline std::size_t machine_tasks_most(const settings::Platform& p) {
-  const auto room = static_cast<std::size_t>(static_cast<double>(p.store.value_bytes()) * settings::kRosterChunkShare);
+  const auto room = static_cast<std::size_t>(static_cast<double>(p.store.value_bytes()) *
+                                             settings::kRosterChunkShare);
   return std::min(settings::kMachineTasksMost, room / settings::kRosterTaskBytes);
 }
 
 inline Ms hold_ms(const settings::Platform& p) {
-  return std::clamp(static_cast<Ms>(static_cast<double>(report_ms(p)) * settings::kHoldShare), settings::kHoldLeastMs, settings::kHoldMostMs);
+  return std::clamp(static_cast<Ms>(static_cast<double>(report_ms(p)) * settings::kHoldShare),
+                    settings::kHoldLeastMs, settings::kHoldMostMs);
 }
 
 }  // namespace hitchfront::core
--- a/src/core/leader_placement.cpp
+++ b/src/core/leader_placement.cpp
@@ -1,9 +1,8 @@
-#include "core/leader.hpp"
-
 #include <algorithm>
 #include <cmath>
 
 #include "aging/aging.hpp"
+#include "core/leader.hpp"
 #include "core/leader_parts.hpp"
 #include "settings/constants.hpp"
 
@@ -16,7 +15,9 @@
 }
 
 // Past its prediction a task is expected to take as long again as a quarter of what it ran.
-double Leader::left_s(double run_s, double ran_s) { return ran_s < run_s ? run_s - ran_s : ran_s / 4; }
+double Leader::left_s(double run_s, double ran_s) {
+  return ran_s < run_s ? run_s - ran_s : ran_s / 4;
+}
 
 double Leader::price_of(const Machine& m) const {
   const auto& type = types_[static_cast<std::size_t>(m.type)];
@@ -25,7 +26,8 @@
 
 // Type, kind and zone; not whether there is room.
 bool Leader::allowed_on(const JobState& job, const Machine& m) const {
-  return m.type >= 0 && (job.types >> m.type & 1) != 0 && (job.spec.spot || !m.spot) && zone_allows(job, m.zone);
+  return m.type >= 0 && (job.types >> m.type & 1) != 0 && (job.spec.spot || !m.spot) &&
+         zone_allows(job, m.zone);
 }
 
 double Leader::run_time(const JobState& job) const {
@@ -43,7 +45,8 @@
     if (job->active() && job->team >= 0 && !blame_.suspect(job->index)) order.push_back(job.get());
   }
   std::sort(order.begin(), order.end(), [](const JobState* a, const JobState* b) {
-    return a->accepted_ms != b->accepted_ms ? a->accepted_ms < b->accepted_ms : a->spec.id < b->spec.id;
+    return a->accepted_ms != b->accepted_ms ? a->accepted_ms < b->accepted_ms
+                                            : a->spec.id < b->spec.id;
   });
   std::vector<double> cpus(teams_.size()), gpus(teams_.size());
   for (auto* j : order) {
@@ -76,10 +79,11 @@
          (job.spec.gpus <= 0 || team.used_gpus + job.spec.gpus <= team.gpus_max + eps);
 }
 
-// Its team is guaranteed nothing and takes what the others leave. Where nobody is guaranteed anything there are no guests:
-// a deployment of one team without guarantee had all its launch marks wait behind everything else, for half a minute.
-// A job whose turn has come needs more of its team's limit than is free at any moment: what comes free is kept for it, or
-// smaller jobs of the team would take it piece by piece for as long as they arrive.
+// Its team is guaranteed nothing and takes what the others leave. Where nobody is guaranteed
+// anything there are no guests: a deployment of one team without guarantee had all its launch marks
+// wait behind everything else, for half a minute. A job whose turn has come needs more of its
+// team's limit than is free at any moment: what comes free is kept for it, or smaller jobs of the
+// team would take it piece by piece for as long as they arrive.
 bool Leader::held_back(const JobState& job) const {
   const auto held = teams_[static_cast<std::size_t>(job.team)].held_for;
   return held != 0 && held != job.index && !job.owed;
@@ -90,10 +94,10 @@
   return guests_ && team.cpus <= 0 && team.gpus <= 0;
 }
 
-// One more task of the job is within what its team is guaranteed, counting what the team uses now. A job that
-// as a whole is beyond the guarantee still has a right to this part of it: found on the bench, where a guest
-// team's long tasks held the fleet while teams with hundreds of waiting processors used a tenth of what they
-// are guaranteed.
+// One more task of the job is within what its team is guaranteed, counting what the team uses now.
+// A job that as a whole is beyond the guarantee still has a right to this part of it: found on the
+// bench, where a guest team's long tasks held the fleet while teams with hundreds of waiting
+// processors used a tenth of what they are guaranteed.
 bool Leader::entitled(const JobState& job) const {
   constexpr double eps = 1e-9;
   const auto& team = teams_[static_cast<std::size_t>(job.team)];
@@ -102,10 +106,11 @@
 }
 
 // The paper has one machine type, idle whole; here machines differ in price and take several tasks.
-// Slow machines are used last. The cheaper machine goes first, so that dearer ones run empty and can be
-// returned; then one that has the image; then the policy. First fit, which makes no distinction, takes
-// the fullest. A machine's merit for a job does not fall as the job's tasks fill it, so each is ranked
-// once and filled before the next: the same places as looking at every machine for each task.
+// Slow machines are used last. The cheaper machine goes first, so that dearer ones run empty and
+// can be returned; then one that has the image; then the policy. First fit, which makes no
+// distinction, takes the fullest. A machine's merit for a job does not fall as the job's tasks fill
+// it, so each is ranked once and filled before the next: the same places as looking at every
+// machine for each task.
 void Leader::fill(Ms now, JobState& job, std::vector<Machine*>& open, std::uint32_t most) {
   struct Merit {
     bool slow, far;  // far: without the image
@@ -123,7 +128,9 @@
   std::vector<Merit> merits;
   for (std::uint32_t i = 0; i < open.size(); ++i) {
     const auto* m = open[i];
-    if (!size.fits(m->room) || (m->reserved_for != 0 && m->reserved_for != job.index) || !allowed_on(job, *m)) continue;
+    if (!size.fits(m->room) || (m->reserved_for != 0 && m->reserved_for != job.index) ||
+        !allowed_on(job, *m))
+      continue;
     if (avoided != nullptr && avoided->contains(m->name)) continue;
     Merit r{};
     r.slow = m->pace > kSlowPace;
@@ -131,13 +138,15 @@
     r.far = std::find(m->images.begin(), m->images.end(), job.image) == m->images.end();
     // The fetch is paid like the run, and what goes first is late by it.
     if (r.far) {
-      const double fetch = job.spec.image_gb / std::max(types_[static_cast<std::size_t>(m->type)].fetch_gb_per_s, 1e-3);
+      const double fetch = job.spec.image_gb /
+                           std::max(types_[static_cast<std::size_t>(m->type)].fetch_gb_per_s, 1e-3);
       r.price *= 1 + fetch / run * (job.priority > wire::Priority::normal ? kFarUrgent : 1);
     }
     if (policy_.choose == portfolio::Choose::first_fit) {
       r.policy = m->room.share_of(m->whole);
     } else {
-      r.policy = portfolio::left_after(static_cast<double>(now - m->born) / 1000, run, params_.charge_unit_s);
+      r.policy = portfolio::left_after(static_cast<double>(now - m->born) / 1000, run,
+                                       params_.charge_unit_s);
       if (policy_.choose == portfolio::Choose::worst_fit) r.policy = -r.policy;
     }
     r.at = i;
@@ -158,7 +167,8 @@
     auto& m = *open[merits.back().at];
     merits.pop_back();
     // Zones may have closed to the job with its own last task.
-    while (tries > 0 && size.fits(m.room) && in_limit(job) && allowed_on(job, m) && m.tasks.size() < machine_tasks_most(platform_)) {
+    while (tries > 0 && size.fits(m.room) && in_limit(job) && allowed_on(job, m) &&
+           m.tasks.size() < machine_tasks_most(platform_)) {
       const auto task = job.next_waiting();
       if (task < 0) return;
       // Another attempt of it may still be launched here, for as long as the session lasts.
@@ -172,30 +182,38 @@
     }
     if (!in_limit(job)) return;
   }
-  // Nowhere else: the machine gets nothing more and is returned once it is empty, and another is rented. A task once waited for 100 s
-  // beside an empty machine that was barred to its job and passed for room.
+  // Nowhere else: the machine gets nothing more and is returned once it is empty, and another is
+  // rented. A task once waited for 100 s beside an empty machine that was barred to its job and
+  // passed for room.
   if (barred != nullptr && tries > 0) barred->emptying = true;
 }
 
 // Work within a guarantee that finds no room has machines kept for it, those that will have room
 // first: otherwise small tasks of later jobs take every piece of room as it comes free, and a task
 // that needs a whole machine waits for as long as they keep arriving.
-// Machines are ordered once for all jobs that ask for the same. What is placed since can only make a machine's room come
-// later, so each is looked at again when it is its turn: the same machines as ordering them anew for each job, which
-// took two thirds of the processor time of a day on which a thousand machines fall and everything waits.
+// Machines are ordered once for all jobs that ask for the same. What is placed since can only make
+// a machine's room come later, so each is looked at again when it is its turn: the same machines as
+// ordering them anew for each job, which took two thirds of the processor time of a day on which a
+// thousand machines fall and everything waits.
 void Leader::reserve(Ms now, const JobState& job, Ends& ends, std::uint32_t most) {
-  // Machines are ordered anew for each job that asks for another size; where all are kept already, for nothing. Ordering
-  // was half of a leader's processor time on a simulated fleet of 5,084 machines with work waiting.
+  // Machines are ordered anew for each job that asks for another size; where all are kept already,
+  // for nothing. Ordering was half of a leader's processor time on a simulated fleet of 5,084
+  // machines with work waiting.
   if (ends.unreserved == 0) return;
   const Size size = size_of(job.spec);
   const bool alone = job.spec.one_zone || job.spec.spread;
-  const auto later = [](const Ends::Offer& a, const Ends::Offer& b) { return a.when != b.when ? a.when > b.when : a.at > b.at; };
-  const auto [it, first] = ends.offers.try_emplace({size.cpus, size.gpus, size.memory_gb, job.types, job.spec.spot, job.zone, alone ? job.index : 0});
+  const auto later = [](const Ends::Offer& a, const Ends::Offer& b) {
+    return a.when != b.when ? a.when > b.when : a.at > b.at;
+  };
+  const auto [it, first] =
+      ends.offers.try_emplace({size.cpus, size.gpus, size.memory_gb, job.types, job.spec.spot,
+                               job.zone, alone ? job.index : 0});
   auto& offers = it->second;
   if (first) {
     for (std::uint32_t at = 0; at < ends.fleet.size(); ++at) {
       const auto* m = ends.fleet[at];
-      if (m->reserved_for == 0 && size.fits(m->whole) && allowed_on(job, *m)) offers.push_back({free_at(now, ends, at, size), at});
+      if (m->reserved_for == 0 && size.fits(m->whole) && allowed_on(job, *m))
+        offers.push_back({free_at(now, ends, at, size), at});
     }
     work_ += ends.fleet.size();
     std::make_heap(offers.begin(), offers.end(), later);
@@ -225,8 +243,10 @@
   auto& e = ends.of[at];
   if (!e.known) {
     e.known = true;
-    for (const auto& [key, p] : m->tasks) e.tasks.push_back({left_s(run_time(*p.job), ran_s(now, p)), size_of(p.job->spec)});
-    std::sort(e.tasks.begin(), e.tasks.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (const auto& [key, p] : m->tasks)
+      e.tasks.push_back({left_s(run_time(*p.job), ran_s(now, p)), size_of(p.job->spec)});
+    std::sort(e.tasks.begin(), e.tasks.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
     work_ += e.tasks.size();
   }
   Size room = m->room;
@@ -253,9 +273,10 @@
   if (roster_on_) roster_.needed(now, m.name);
   has_image(m, job.image);
   if (task >= job.mark_wanted) {
-    // Stored before the first launch beyond it; four times as far, so that a large job costs few writes while
-    // a new leader still need not doubt tasks that were never launched.
-    job.mark_wanted = std::min(job.spec.tasks, std::max({task + 1, 4 * job.mark_wanted, kMarkAtOnce}));
+    // Stored before the first launch beyond it; four times as far, so that a large job costs few
+    // writes while a new leader still need not doubt tasks that were never launched.
+    job.mark_wanted =
+        std::min(job.spec.tasks, std::max({task + 1, 4 * job.mark_wanted, kMarkAtOnce}));
   }
 }
 
@@ -263,12 +284,13 @@
 bool Leader::late(const JobState& job, double since_submission_s) const {
   if (!job.spec.deadline_s) return false;
   const auto& team = teams_[static_cast<std::size_t>(job.team)];
-  const double rounds = std::max(1.0, std::ceil(job.waiting * job.spec.cpus / std::max(team.cpus_max, job.spec.cpus)));
+  const double rounds = std::max(
+      1.0, std::ceil(job.waiting * job.spec.cpus / std::max(team.cpus_max, job.spec.cpus)));
   return since_submission_s + rounds * run_time(job) > *job.spec.deadline_s;
 }
 
-// Placement once for a batch of changes: what it costs decides how soon the next may follow. Reports
-// of machines with room are held meanwhile, and are answered with what is placed then.
+// Placement once for a batch of changes: what it costs decides how soon the next may follow.
+// Reports of machines with room are held meanwhile, and are answered with what is placed then.
 void Leader::schedule(Ms now) {
   if (!loaded_ || !dirty_ || now < next_place_) return;
   const auto before = work_;
@@ -316,7 +338,9 @@
   for (auto& [id, job] : jobs_) {
     if (!job->active() || job->waiting == 0 || job->team < 0 || now < job->not_before) continue;
     const double wait = static_cast<double>(now - job->seen) / 1000;
-    order.push_back({is_guest(*job), late(*job, static_cast<double>(now - job->submitted) / 1000), portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks), job.get()});
+    order.push_back({is_guest(*job), late(*job, static_cast<double>(now - job->submitted) / 1000),
+                     portfolio::order_key(policy_.order, wait, run_time(*job), job->spec.tasks),
+                     job.get()});
     waiting.push_back({order.size() - 1, wait, has_begun(*job), job->owed});
   }
   for (const auto& g : aging::turns(waiting, fleet_.size(), {kAgedS, kDueS, kAsideShare})) {
@@ -333,7 +357,8 @@
     if (a_due != b_due) return a_due;
     if (a.job->priority != b.job->priority) return a.job->priority > b.job->priority;
     if (a.turn != b.turn) return a.turn > b.turn;
-    if (a.turn != aging::Turn::usual && a.job->seen != b.job->seen) return a.job->seen < b.job->seen;
+    if (a.turn != aging::Turn::usual && a.job->seen != b.job->seen)
+      return a.job->seen < b.job->seen;
     if (a.guest != b.guest) return b.guest;
     if (a.late != b.late) return b.late;
     if (a.key != b.key) return a.key > b.key;
@@ -352,7 +377,8 @@
     }
     if (job.owed && job.waiting > 0 && in_limit(job)) reserve(now, job, ends, kAll);
     if (job.waiting != before)
-      std::erase_if(open, [](const Machine* m) { return m->room.cpus < 1e-9 && m->room.gpus < 1e-9; });
+      std::erase_if(open,
+                    [](const Machine* m) { return m->room.cpus < 1e-9 && m->room.gpus < 1e-9; });
     if (job.mark_wanted > job.mark) persist(now, job);
   }
   write_roster(now);
--- a/src/core/leader_preemption.cpp
+++ b/src/core/leader_preemption.cpp
@@ -1,8 +1,7 @@
-#include "core/leader.hpp"
-
 #include <algorithm>
 #include <cmath>
 
+#include "core/leader.hpp"
 #include "core/leader_parts.hpp"
 #include "settings/constants.hpp"
 
@@ -17,7 +16,8 @@
   mark_owed();
   std::vector<JobState*> wanting;
   for (auto& [id, job] : jobs_)
-    if (job->active() && job->waiting > 0 && job->team >= 0 && !held_back(*job) && now >= job->not_before && !blame_.suspect(job->index) &&
+    if (job->active() && job->waiting > 0 && job->team >= 0 && !held_back(*job) &&
+        now >= job->not_before && !blame_.suspect(job->index) &&
         (job->owed || entitled(*job) || job->priority > wire::Priority::low))
       wanting.push_back(job.get());
   if (wanting.empty()) return;
@@ -31,15 +31,16 @@
   for (auto* m : fleet_)
     if (usable(now, *m) &&
         (m->room.cpus > 1e-9 || std::any_of(m->tasks.begin(), m->tasks.end(), [](const auto& t) {
-          return t.second.job->spec.checkpoint_s > 0 && !t.second.stopping;
-        })))
+           return t.second.job->spec.checkpoint_s > 0 && !t.second.stopping;
+         })))
       open.push_back(m);
   work_ += fleet_.size();
   // For each task that finds no room: the machine where making room loses least. The task is
-  // assigned there at once, which reserves the room, and launched when the victims are gone. Freeing
-  // room without reserving it was tried first: small tasks refilled the fragments, and the same
-  // large job had others stopped again and again. Only the machine used changes by an assignment, so
-  // each machine's offer is worked out once for a job and again only after it was taken.
+  // assigned there at once, which reserves the room, and launched when the victims are gone.
+  // Freeing room without reserving it was tried first: small tasks refilled the fragments, and the
+  // same large job had others stopped again and again. Only the machine used changes by an
+  // assignment, so each machine's offer is worked out once for a job and again only after it was
+  // taken.
   std::set<Machine*> told;
   for (auto* job : wanting) {
     const Size size = size_of(job->spec);
@@ -48,13 +49,21 @@
       std::uint32_t at = 0;
       std::vector<Placement*> victims;
     };
-    const auto dearer = [](const Offer& a, const Offer& b) { return a.loss != b.loss ? a.loss > b.loss : a.at > b.at; };
+    const auto dearer = [](const Offer& a, const Offer& b) {
+      return a.loss != b.loss ? a.loss > b.loss : a.at > b.at;
+    };
     const auto offer_of = [&](std::uint32_t at) -> std::optional<Offer> {
       auto* m = open[at];
       ++work_;
-      // Room that is set aside for a job is not another's, or what looked for victims took it at no loss at all.
-      if ((m->reserved_for != 0 && m->reserved_for != job->index) || m->unsettled.of_task({job->index, static_cast<std::uint32_t>(std::max<std::int64_t>(0, job->next_waiting()))})) return std::nullopt;
-      if (!size.fits(m->whole) || !allowed_on(*job, *m) || m->tasks.size() >= machine_tasks_most(platform_)) return std::nullopt;
+      // Room that is set aside for a job is not another's, or what looked for victims took it at no
+      // loss at all.
+      if ((m->reserved_for != 0 && m->reserved_for != job->index) ||
+          m->unsettled.of_task({job->index, static_cast<std::uint32_t>(
+                                                std::max<std::int64_t>(0, job->next_waiting()))}))
+        return std::nullopt;
+      if (!size.fits(m->whole) || !allowed_on(*job, *m) ||
+          m->tasks.size() >= machine_tasks_most(platform_))
+        return std::nullopt;
       Offer o;
       o.at = at;
       Size room = m->room;
@@ -65,7 +74,8 @@
         if (loss >= 0) victims.push_back({loss, &p});
       }
       work_ += m->tasks.size();
-      std::sort(victims.begin(), victims.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+      std::sort(victims.begin(), victims.end(),
+                [](const auto& x, const auto& y) { return x.first < y.first; });
       for (auto& [l, p] : victims) {
         if (size.fits(room)) break;
         room.add(size_of(p->job->spec));
@@ -97,8 +107,9 @@
       auto* m = open[at];
       for (auto* p : best.victims) {
         p->stopping = m->stopping = true;
-        // A guest team's task goes at once for work within a guarantee, back to its last checkpoint: the time
-        // it would take to save is most of what a guarantee allows for a start.
+        // A guest team's task goes at once for work within a guarantee, back to its last
+        // checkpoint: the time it would take to save is most of what a guarantee allows for a
+        // start.
         p->grace_s = job->owed && is_guest(*p->job) ? 0 : p->job->spec.save_s + kGraceSpareS;
         // What is being stopped frees its room now in the books; the launch waits for the facts.
         m->room.add(size_of(p->job->spec));
@@ -106,7 +117,8 @@
       }
       if (!best.victims.empty()) {
         log(Event::room_made, m->name, job->spec.id, best.victims.size());
-        out_.figures().add(telemetry::Count::stops, telemetry::Stop::preempted, static_cast<double>(best.victims.size()));
+        out_.figures().add(telemetry::Count::stops, telemetry::Stop::preempted,
+                           static_cast<double>(best.victims.size()));
       }
       assign(now, *job, *m, static_cast<std::uint32_t>(job->next_waiting()));
       told.insert(m);
@@ -122,22 +134,25 @@
     if (!answer(now, *m, false)) stop_direct(now, *m);
 }
 
-// What is lost when this task is stopped for `job`: seconds of work times processors, or -1 where it
-// may not or should not be stopped.
+// What is lost when this task is stopped for `job`: seconds of work times processors, or -1 where
+// it may not or should not be stopped.
 double Leader::loss_of(Ms now, const Placement& p, const JobState& job) const {
   // A task that cannot save loses all it has done. Stopping such tasks was measured: the waste cost
   // more than the guarantees gained, on both deployments.
   if (p.job->spec.checkpoint_s <= 0) return -1;
-  if (p.stopping || p.stage == Stage::assigned || p.stage == Stage::saving || p.job == &job) return -1;
+  if (p.stopping || p.stage == Stage::assigned || p.stage == Stage::saving || p.job == &job)
+    return -1;
   const auto& team = teams_[static_cast<std::size_t>(p.job->team)];
-  // A guest's priority does not reach into what another team is guaranteed: that team would stop the guest's task for it at
-  // once, and the two took the room from each other every few seconds until the day was over.
+  // A guest's priority does not reach into what another team is guaranteed: that team would stop
+  // the guest's task for it at once, and the two took the room from each other every few seconds
+  // until the day was over.
   const bool guaranteed = is_guest(job) && !is_guest(*p.job) && team.used_cpus <= team.cpus + 1e-9;
   const bool lower = p.job->priority < job.priority && (job.owed || (!p.job->owed && !guaranteed));
-  // For a whole job within its team's guarantee whoever borrows gives way; for the part of a larger job only
-  // guests do: among teams with guarantees it was measured to cost more, in saving and moving, than it gave.
-  const bool borrowed = (job.owed || (entitled(job) && is_guest(*p.job))) && !p.job->owed && p.job->team != job.team &&
-                        team.used_cpus > team.cpus + 1e-9;
+  // For a whole job within its team's guarantee whoever borrows gives way; for the part of a larger
+  // job only guests do: among teams with guarantees it was measured to cost more, in saving and
+  // moving, than it gave.
+  const bool borrowed = (job.owed || (entitled(job) && is_guest(*p.job))) && !p.job->owed &&
+                        p.job->team != job.team && team.used_cpus > team.cpus + 1e-9;
   if (!lower && !borrowed) return -1;
   const double run = run_time(*p.job);
   const double ran = ran_s(now, p);
--- a/src/core/leader_reports.cpp
+++ b/src/core/leader_reports.cpp
@@ -1,8 +1,7 @@
-#include "core/leader.hpp"
-
 #include <algorithm>
 #include <cmath>
 
+#include "core/leader.hpp"
 #include "core/leader_parts.hpp"
 #include "settings/constants.hpp"
 
@@ -11,17 +10,20 @@
 using portfolio::Size;
 
 bool Leader::usable(Ms now, const Machine& m) const {
-  return m.up && m.confirmed && !m.lost && !m.hearing.deaf() && !m.vanished && !m.draining && !m.emptying && !m.releasing && !m.failed && m.taken_at == 0 &&
+  return m.up && m.confirmed && !m.lost && !m.hearing.deaf() && !m.vanished && !m.draining &&
+         !m.emptying && !m.releasing && !m.failed && m.taken_at == 0 &&
          now - m.last_report < silent_ms(platform_);
 }
 
 bool Leader::missed(Ms now, const Machine& m) const {
-  return m.up && !m.lost && !m.failed && !m.releasing && m.taken_at == 0 && (m.hearing.deaf() || m.vanished || now - m.last_report > silent_ms(platform_) + kMissedMs);
+  return m.up && !m.lost && !m.failed && !m.releasing && m.taken_at == 0 &&
+         (m.hearing.deaf() || m.vanished || now - m.last_report > silent_ms(platform_) + kMissedMs);
 }
 
-// It gets nothing more, counts as missing, so that what replaces it is rented, and is asked directly from time to time whether it
-// can be reached again. Its tasks count as there until they are proved gone, like anybody's: a lease that no answer renews is
-// over by itself, and its next report tells.
+// It gets nothing more, counts as missing, so that what replaces it is rented, and is asked
+// directly from time to time whether it can be reached again. Its tasks count as there until they
+// are proved gone, like anybody's: a lease that no answer renews is over by itself, and its next
+// report tells.
 void Leader::not_heard(Ms now, Machine& m, std::uint32_t times) {
   if (m.hearing.missed(now, times)) log(Event::machine_deaf, m.name, m.tasks.size());
 }
@@ -39,14 +41,15 @@
   c.path = "/status";
   c.timeout_ms = kWorkerTimeoutMs;
   out_.call(std::move(c), mine([this, name = m.name](Ms t, int status, std::string_view) {
-    const auto it = machines_.find(name);
-    if (it == machines_.end()) return;
-    if (it->second->hearing.probed(t, status == 200)) log(Event::machine_hears, name);
-    if (status == 200) dirty_ = true;
-  }));
+              const auto it = machines_.find(name);
+              if (it == machines_.end()) return;
+              if (it->second->hearing.probed(t, status == 200)) log(Event::machine_hears, name);
+              if (status == 200) dirty_ = true;
+            }));
 }
 
-// An attempt that is kept listed because its launch may still come is nothing that anybody waits for.
+// An attempt that is kept listed because its launch may still come is nothing that anybody waits
+// for.
 bool Leader::nothing_left(const Machine& m) const {
   return std::all_of(m.reported.begin(), m.reported.end(), [&](const wire::ReportedTask& t) {
     return t.state == wire::TaskState::ended && m.unsettled.contains(t.attempt);
@@ -67,7 +70,8 @@
     // Keeps the worker's lease alive. Its tasks are in doubt until its next report, and the answer
     // lets them live on for a lease from now: the doubt has to last as long.
     doubt_over_ = std::max(doubt_over_, now + lease_ms(platform_));
-    // Of what is not loaded yet only this is known, and that lease is not to keep such tasks alive. When their users were told is not.
+    // Of what is not loaded yet only this is known, and that lease is not to keep such tasks alive.
+    // When their users were told is not.
     answers::Answer a(kCommandsMost);
     for (const auto& t : r->tasks) {
       const auto* job = find(t.job);
@@ -81,14 +85,18 @@
   Machine* m = it != machines_.end() ? it->second.get() : nullptr;
   if (m == nullptr) {
     m = add_machine(now, r->machine, r->type, r->zone, r->spot);
-    if (m == nullptr) return out_.reply(request, 503, wire::error_body("machine type not known yet"));
+    if (m == nullptr)
+      return out_.reply(request, 503, wire::error_body("machine type not known yet"));
     m->born = now;
     log(Event::machine_reports, r->machine, offer_text(m->type, m->zone, r->spot), r->session);
   }
-  // The newest report once more, by another way: the answer to the first copy got lost. It renews the lease as that one did, so
-  // that what has to end has to be in it again; a launch in the lost answer shows as absent in the next report.
-  if (way == Way::store && r->session == m->session && r->seq == m->seq && !m->lost && m->lost_session < r->session) {
-    if (say(now, request, r->machine, r->addr, r->session, what_to_say(now, *m))) m->lease_over = std::max(m->lease_over, m->last_report + lease_ms(platform_));
+  // The newest report once more, by another way: the answer to the first copy got lost. It renews
+  // the lease as that one did, so that what has to end has to be in it again; a launch in the lost
+  // answer shows as absent in the next report.
+  if (way == Way::store && r->session == m->session && r->seq == m->seq && !m->lost &&
+      m->lost_session < r->session) {
+    if (say(now, request, r->machine, r->addr, r->session, what_to_say(now, *m)))
+      m->lease_over = std::max(m->lease_over, m->last_report + lease_ms(platform_));
     return;
   }
   // Delayed in the network: its task list is old, and the worker has given up on it.
@@ -103,12 +111,14 @@
     m->held.reset();
   }
   if (r->session > m->session && m->session != 0) {
-    // A new session begins without tasks: what is known to be of an earlier one is gone. What the roster names may be of this
-    // session or a later one: the first report of a term can be a late copy of a session long past, and the next one, that
-    // of the session in which the task runs, once made it start elsewhere (seed 70).
+    // A new session begins without tasks: what is known to be of an earlier one is gone. What the
+    // roster names may be of this session or a later one: the first report of a term can be a late
+    // copy of a session long past, and the next one, that of the session in which the task runs,
+    // once made it start elsewhere (seed 70).
     for (auto p = m->tasks.begin(); p != m->tasks.end();) {
       const auto key = p->first;
-      const bool over = p->second.stage != Stage::assigned && p->second.session != 0 && p->second.session < r->session;
+      const bool over = p->second.stage != Stage::assigned && p->second.session != 0 &&
+                        p->second.session < r->session;
       ++p;
       if (over) gone(now, *m, key);
     }
@@ -116,7 +126,8 @@
     // No launch of an earlier session is carried out in this one.
     m->unsettled.session_over();
     // Its lease ran out though it was answered all along. One that hung, or was cut off, was not.
-    if (m->confirmed && m->answered_at != 0 && now - m->answered_at < lease_ms(platform_) / 2) not_heard(now, *m, kDeafAnswers);
+    if (m->confirmed && m->answered_at != 0 && now - m->answered_at < lease_ms(platform_) / 2)
+      not_heard(now, *m, kDeafAnswers);
   }
   if (!m->up) m->idle_since = now;
   m->up = true;
@@ -166,9 +177,11 @@
   dirty_ = true;
   schedule(now);
   if (!m->held) return;
-  // An assignment waits for the roster; its launch is to be in this answer, not in the next, a whole period later.
+  // An assignment waits for the roster; its launch is to be in this answer, not in the next, a
+  // whole period later.
   const bool launches = m->assigned > 0;
-  const bool worth_holding = usable(now, *m) && (launches || (m->room.cpus >= 1 && m->room.memory_gb > 0));
+  const bool worth_holding =
+      usable(now, *m) && (launches || (m->room.cpus >= 1 && m->room.memory_gb > 0));
   // The way back through the store takes long enough as it is.
   m->held_most = way == Way::store ? kHoldRelayedMs : hold_ms(platform_);
   answer(now, *m, !worth_holding || (way == Way::store && !launches));
@@ -176,9 +189,10 @@
 
 void Leader::take_tasks(Ms now, Machine& m, const wire::Report& r) {
   const auto listed = m.listed = ++reports_;
-  // A report of before this term may be older than the launch that the roster names here: what it lists as ended may be an earlier
-  // attempt of the same task. Found as tasks that ran twice: two old reports in a row, kept until the next leader began, the
-  // first with that attempt running, which the books took for theirs, the second with its end.
+  // A report of before this term may be older than the launch that the roster names here: what it
+  // lists as ended may be an earlier attempt of the same task. Found as tasks that ran twice: two
+  // old reports in a row, kept until the next leader began, the first with that attempt running,
+  // which the books took for theirs, the second with its end.
   const bool of_now = r.token == term_;
   bool hears = false, swallowed = false;
   for (const auto& t : r.tasks) {
@@ -201,11 +215,14 @@
           ++job->run_count;
         }
         const bool proved = of_now || it == m.tasks.end() || it->second.stage == Stage::assigned;
-        if (!proved) unsettle(it->second, true);  // done for ever, and another attempt may be here all the same
+        if (!proved)
+          unsettle(it->second,
+                   true);  // done for ever, and another attempt may be here all the same
         completed(now, m, *job, t.task);
         if (find(t.job) != job) continue;  // that was its last task
         if (auto p = m.tasks.find(key); proved && p != m.tasks.end()) gone(now, m, key);
-      } else if (of_now && it != m.tasks.end() && it->second.attempt == t.attempt && it->second.stage != Stage::assigned) {
+      } else if (of_now && it != m.tasks.end() && it->second.attempt == t.attempt &&
+                 it->second.stage != Stage::assigned) {
         hears = hears || it->second.stage == Stage::sent;
         // `busy` means that another attempt of this task is on this very machine; the report lists
         // it too, and then it is taken up below.
@@ -224,9 +241,10 @@
       continue;
     }
     if (it == m.tasks.end()) {
-      // The roster that this leader was handed has all that its predecessors launched and nobody proved gone. A report of
-      // before this term that lists something else is late, a copy perhaps of one that came minutes ago: believed, it had work
-      // that runs elsewhere held for a lease by a machine that was returned.
+      // The roster that this leader was handed has all that its predecessors launched and nobody
+      // proved gone. A report of before this term that lists something else is late, a copy perhaps
+      // of one that came minutes ago: believed, it had work that runs elsewhere held for a lease by
+      // a machine that was returned.
       if (handed_whole_ && r.token < term_ && t.attempt >> kAttemptBits < term_) continue;
       // An earlier leader's launch, or one that was thought gone. Presence is believed from anyone.
       Placement p;
@@ -244,12 +262,14 @@
     p.listed = listed;
     if (r.token == term_) p.session = r.session;
     unsettle(p, false);  // it is there; what may still come of its launch finds it there
-    if (t.state != wire::TaskState::fetching && t.state != wire::TaskState::saving && p.run_since == 0 &&
-        p.stage != Stage::assigned) {
+    if (t.state != wire::TaskState::fetching && t.state != wire::TaskState::saving &&
+        p.run_since == 0 && p.stage != Stage::assigned) {
       p.run_since = now;
       began_to_run(*job);
-      if (p.sent_seq != 0) out_.figures().observe(telemetry::Spread::start_s, static_cast<double>(now - job->seen) / 1000,
-                             static_cast<std::size_t>(job->spec.priority));
+      if (p.sent_seq != 0)
+        out_.figures().observe(telemetry::Spread::start_s,
+                               static_cast<double>(now - job->seen) / 1000,
+                               static_cast<std::size_t>(job->spec.priority));
     }
     if (p.stage == Stage::assigned) --m.assigned;
     set_stage(p, t.state == wire::TaskState::fetching ? Stage::fetching
@@ -263,8 +283,9 @@
   for (const auto& [key, p] : m.tasks)
     if (p.stage != Stage::assigned && p.sent_seq < r.seq && p.listed != listed) {
       swallowed = swallowed || (p.stage == Stage::sent && p.sent_seq != 0 && !p.stopping);
-      // A direct launch that was not answered may be carried out as long as the session lasts: until then the task is here.
-      // One of an earlier term can't be any more: the worker has heard of this one.
+      // A direct launch that was not answered may be carried out as long as the session lasts:
+      // until then the task is here. One of an earlier term can't be any more: the worker has heard
+      // of this one.
       if (!p.unsettled || p.attempt >> kAttemptBits < term_) absent.push_back(key);
     }
   for (const auto& key : absent) gone(now, m, key);
@@ -306,8 +327,7 @@
   if (blame_.is_proved(job.index)) return;  // elsewhere at once
   // The job may itself be at fault: fewer tries, but never none.
   job.not_before = now + std::min(kFailPauseMostMs, kFailPauseMs << std::min(n - 1, 10U));
-  if (!before && blame_.suspect(job.index))
-    log(Event::job_suspect, job.spec.id);
+  if (!before && blame_.suspect(job.index)) log(Event::job_suspect, job.spec.id);
 }
 
 // Answers the held report. Without `force` only when there is something to say.
@@ -341,7 +361,9 @@
     const bool known = job != nullptr && t.task < job->spec.tasks;
     if (t.state == wire::TaskState::ended) {
       // A completion is stored before the worker may forget it, unless its job is cancelled.
-      if (!m.unsettled.contains(t.attempt) && (!known || t.cause != wire::Cause::done || job->withdrawn || job->stored[t.task])) a.clear(attempt);
+      if (!m.unsettled.contains(t.attempt) &&
+          (!known || t.cause != wire::Cause::done || job->withdrawn || job->stored[t.task]))
+        a.clear(attempt);
       continue;
     }
     if (!known || job->withdrawn || job->phase[t.task] == TaskPhase::done) {
@@ -360,16 +382,16 @@
     const bool ours = p.attempt >> kAttemptBits == term_;
     const answers::Attempt attempt{p.job->spec.id, p.task, ours ? p.attempt : 0};
     if (p.job->withdrawn) {
-      // Launched by an earlier leader, or by a command to the machine without an answer: it may come yet. Else it came after this
-      // report was sent, and is known there.
+      // Launched by an earlier leader, or by a command to the machine without an answer: it may
+      // come yet. Else it came after this report was sent, and is known there.
       if (!ours || p.unsettled)
         a.end_unlisted(now, attempt, p.job->renew_until);
       else
         a.end(attempt, p.job->renew_until);
       if (p.unsettled) p.sent_seq = m.seq;
     } else if (p.unsettled && ours && !m.direct_out && a.room() >= 2) {
-      // A direct launch that was not answered, and does not show: the same attempt once more, which has no effect where it was
-      // carried out meanwhile.
+      // A direct launch that was not answered, and does not show: the same attempt once more, which
+      // has no effect where it was carried out meanwhile.
       if (p.stopping || !p.job->active() || p.job->phase[p.task] == TaskPhase::done)
         a.end_unlisted(now, attempt, INT64_MAX);
       else
@@ -380,11 +402,14 @@
   return a;
 }
 
-// The one place from which a lease is renewed. What the answer can't end goes to the machine itself.
-bool Leader::say(Ms now, std::uint64_t request, const std::string& machine, const std::string& addr, std::uint64_t session, const answers::Answer& a) {
+// The one place from which a lease is renewed. What the answer can't end goes to the machine
+// itself.
+bool Leader::say(Ms now, std::uint64_t request, const std::string& machine, const std::string& addr,
+                 std::uint64_t session, const answers::Answer& a) {
   const bool renews = a.renews(now);
   for (const auto& commands : a.direct(renews))
-    if (!addr.empty()) out_.call(to_machine(addr, session, commands), [](Ms, int, std::string_view) {});
+    if (!addr.empty())
+      out_.call(to_machine(addr, session, commands), [](Ms, int, std::string_view) {});
   if (renews) {
     out_.reply(request, 200, wire::report_answer(term_, a.commands()));
   } else {
@@ -406,7 +431,8 @@
     if (commands.size() >= most) break;
     if (!size_of(p.job->spec).fits(room)) continue;
     // Dropped as late as possible: a job withdrawn meanwhile starts nothing.
-    if (p.stage != Stage::assigned || !p.booked || !p.job->active() || p.task >= p.job->mark) continue;
+    if (p.stage != Stage::assigned || !p.booked || !p.job->active() || p.task >= p.job->mark)
+      continue;
     p.stage = Stage::sent;
     --m.assigned;
     p.attempt = (term_ << kAttemptBits) | next_attempt_++;
@@ -420,7 +446,8 @@
   return commands;
 }
 
-HttpCall Leader::to_machine(const std::string& addr, std::uint64_t session, const std::vector<wire::Command>& commands) const {
+HttpCall Leader::to_machine(const std::string& addr, std::uint64_t session,
+                            const std::vector<wire::Command>& commands) const {
   HttpCall c;
   c.target = Target::worker;
   c.addr = addr;
@@ -431,16 +458,21 @@
   return c;
 }
 
-// Where the next report is seconds away, a launch that is stored goes to the machine itself. It may be carried out late, as
-// long as token and session are the same: docs/safety.md, "Direct launches", says why that breaks nothing.
+// Where the next report is seconds away, a launch that is stored goes to the machine itself. It may
+// be carried out late, as long as token and session are the same: docs/safety.md, "Direct
+// launches", says why that breaks nothing.
 void Leader::launch_direct(Ms now, Machine& m) {
-  if (!direct_on_ || m.held || m.direct_out || m.hearing.doubted() || m.assigned == 0 || m.addr.empty() || !usable(now, m) || !may_act(now)) return;
+  if (!direct_on_ || m.held || m.direct_out || m.hearing.doubted() || m.assigned == 0 ||
+      m.addr.empty() || !usable(now, m) || !may_act(now))
+    return;
   if (m.last_report + report_ms(platform_) - now < kDirectWorthMs) return;
   const auto commands = launches(now, m, kCommandsMost);
   if (commands.empty()) return;
   std::vector<std::pair<TaskKey, std::uint64_t>> launched;
   for (auto& [key, p] : m.tasks)
-    if (p.stage == Stage::sent && std::any_of(commands.begin(), commands.end(), [&](const auto& c) { return c.attempt == p.attempt; })) {
+    if (p.stage == Stage::sent && std::any_of(commands.begin(), commands.end(), [&](const auto& c) {
+          return c.attempt == p.attempt;
+        })) {
       unsettle(p, true);
       m.unsettled.add(p.attempt, key);
       launched.push_back({key, p.attempt});
@@ -448,13 +480,16 @@
   m.direct_out = true;
   auto c = to_machine(m.addr, m.session, commands);
   out_.figures().add(telemetry::Count::direct_launches, static_cast<double>(commands.size()));
-  out_.call(std::move(c), mine([this, name = m.name, session = m.session, launched = std::move(launched)](Ms t, int status, std::string_view body) {
-    direct_answered(t, name, session, launched, status, body);
-  }));
+  out_.call(std::move(c),
+            mine([this, name = m.name, session = m.session, launched = std::move(launched)](
+                     Ms t, int status, std::string_view body) {
+              direct_answered(t, name, session, launched, status, body);
+            }));
 }
 
 void Leader::direct_answered(Ms now, const std::string& machine, std::uint64_t session,
-                             const std::vector<std::pair<TaskKey, std::uint64_t>>& launched, int status, std::string_view body) {
+                             const std::vector<std::pair<TaskKey, std::uint64_t>>& launched,
+                             int status, std::string_view body) {
   const auto found = machines_.find(machine);
   if (found == machines_.end()) return;
   auto& m = *found->second;
@@ -470,7 +505,8 @@
   for (const auto& [key, attempt] : launched) {
     m.unsettled.settle(attempt);
     const auto it = m.tasks.find(key);
-    if (it == m.tasks.end() || it->second.attempt != attempt || it->second.stage != Stage::sent) continue;
+    if (it == m.tasks.end() || it->second.attempt != attempt || it->second.stage != Stage::sent)
+      continue;
     unsettle(it->second, false);
     if (refused)
       gone(now, m, key);
@@ -522,7 +558,8 @@
     for (auto* j : withdrawn) persist(now, *j);
     dirty_ = true;
   }
-  // Without the right to act it answers nobody, and says no leases are over that a successor may have renewed.
+  // Without the right to act it answers nobody, and says no leases are over that a successor may
+  // have renewed.
   if (!may_act(now)) return;
   for (auto* m : fleet_) {
     probe(now, *m);
--- a/src/core/leader_roster.cpp
+++ b/src/core/leader_roster.cpp
@@ -1,4 +1,5 @@
-// The roster: every launch is in the store before it is in an answer. docs/safety.md, "The roster", has the argument.
+// The roster: every launch is in the store before it is in an answer. docs/safety.md, "The roster",
+// has the argument.
 #include <algorithm>
 
 #include "core/leader.hpp"
@@ -10,32 +11,40 @@
 using Rank = StoreClient::Rank;
 namespace {
 constexpr const char* kRosterPrefix = "roster/";
-std::string chunk_key(std::uint32_t chunk) { return kRosterPrefix + std::to_string(chunk); }
+std::string chunk_key(std::uint32_t chunk) {
+  return kRosterPrefix + std::to_string(chunk);
+}
 }  // namespace
 
 void Leader::load_roster(Ms now, std::string after) {
   if (!roster_on_) return loaded(now);
-  store_.range(now, Rank::leader, kRosterPrefix, after, mine([this, after](Ms t, int status, std::string_view body) {
-    auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
-    if (!page) return load_roster(t, after);
-    for (auto& i : page->items) {
-      const auto chunk = static_cast<std::uint32_t>(std::strtoul(i.key.c_str() + std::string_view(kRosterPrefix).size(), nullptr, 10));
-      auto machines = i.value.is_string() ? wire::decode_roster(i.value.get_ref<const std::string&>()) : std::nullopt;
-      if (!machines) {
-        // What stood there is not known: the old rule, from the store's point of view too, before anything is written.
-        log(Event::roster_unreadable, i.key);
-        leadership_.distrust_roster(t);
-        machines.emplace();
-      }
-      stored_roster_.push_back({chunk, i.version, std::move(*machines)});
-    }
-    if (page->more && !page->items.empty()) return load_roster(t, page->items.back().key);
-    loaded(t);
-  }));
+  store_.range(now, Rank::leader, kRosterPrefix, after,
+               mine([this, after](Ms t, int status, std::string_view body) {
+                 auto page = status == 200 ? wire::parse_page(body) : std::nullopt;
+                 if (!page) return load_roster(t, after);
+                 for (auto& i : page->items) {
+                   const auto chunk = static_cast<std::uint32_t>(std::strtoul(
+                       i.key.c_str() + std::string_view(kRosterPrefix).size(), nullptr, 10));
+                   auto machines = i.value.is_string()
+                                       ? wire::decode_roster(i.value.get_ref<const std::string&>())
+                                       : std::nullopt;
+                   if (!machines) {
+                     // What stood there is not known: the old rule, from the store's point of view
+                     // too, before anything is written.
+                     log(Event::roster_unreadable, i.key);
+                     leadership_.distrust_roster(t);
+                     machines.emplace();
+                   }
+                   stored_roster_.push_back({chunk, i.version, std::move(*machines)});
+                 }
+                 if (page->more && !page->items.empty())
+                   return load_roster(t, page->items.back().key);
+                 loaded(t);
+               }));
 }
 
-// What an earlier leader may have launched stands where the roster says, and counts as there: the same books as if
-// this leader had launched it, with the same proofs that it is gone.
+// What an earlier leader may have launched stands where the roster says, and counts as there: the
+// same books as if this leader had launched it, with the same proofs that it is gone.
 void Leader::take_roster(Ms now) {
   const auto stored = std::exchange(stored_roster_, {});
   const bool whole = leadership_.roster_whole();
@@ -53,7 +62,8 @@
 
 void Leader::take_rostered(Ms now, const wire::RosterMachine& r) {
   auto it = machines_.find(r.name);
-  Machine* m = it != machines_.end() ? it->second.get() : add_machine(now, r.name, r.type, r.zone, r.spot);
+  Machine* m =
+      it != machines_.end() ? it->second.get() : add_machine(now, r.name, r.type, r.zone, r.spot);
   const bool stranger = m == nullptr;
   if (stranger) {
     strangers_[r.name] = r;
@@ -67,8 +77,9 @@
     if (job == nullptr) continue;
     for (const auto t : g.tasks) {
       if (t >= job->spec.tasks) continue;
-      // Done, and still in the roster: most likely just ended there. But an earlier leader may have launched it there by a
-      // command that is on its way, and until the machine has heard of this term that counts.
+      // Done, and still in the roster: most likely just ended there. But an earlier leader may have
+      // launched it there by a command that is on its way, and until the machine has heard of this
+      // term that counts.
       const bool done = job->phase[t] == TaskPhase::done;
       if (done && (!direct_on_ || stranger)) continue;
       if (stranger) {
@@ -99,7 +110,8 @@
     const auto stranger = strangers_.find(name);
     if (it != machines_.end()) {
       auto& m = *it->second;
-      w.machine(name, types_[static_cast<std::size_t>(m.type)].name, m.zone < 0 ? std::string() : zones_[static_cast<std::size_t>(m.zone)], m.spot,
+      w.machine(name, types_[static_cast<std::size_t>(m.type)].name,
+                m.zone < 0 ? std::string() : zones_[static_cast<std::size_t>(m.zone)], m.spot,
                 m.up || m.rostered, (m.born + wall_minus_steady_) / 1000);
       for (auto p = m.tasks.begin(); p != m.tasks.end();) {
         const auto job = p->first.first;
@@ -129,8 +141,10 @@
   if (!roster_on_ || !loaded_ || !leadership_.leading() || !leadership_.may_write_roster()) return;
   reread_roster(now);
   roster_.set_rate(std::max(1.0, store_.write_rate() * kRosterShare));
-  progress_.set_rate(std::max(1.0, store_.write_rate() * kProgressShare), std::max(1.0, store_.write_rate() * kProgressShare));
-  while (auto batch = roster_.next(now, [this](const roster::Names& m, std::uint64_t b) { return describe(m, b); })) {
+  progress_.set_rate(std::max(1.0, store_.write_rate() * kProgressShare),
+                     std::max(1.0, store_.write_rate() * kProgressShare));
+  while (auto batch = roster_.next(
+             now, [this](const roster::Names& m, std::uint64_t b) { return describe(m, b); })) {
     wire::Txn txn;
     txn.if_version("leader", leader_version_);
     for (const auto& w : batch->writes) {
@@ -143,15 +157,17 @@
       out_.figures().add(telemetry::Count::roster_bytes, static_cast<double>(w.value.size()));
     }
     // Launches wait for it, and it has a rate of its own.
-    store_.commit(now, Rank::lease, txn, mine([this, b = std::move(*batch)](Ms t, int status, std::string_view body) {
-      if (const auto rev = status == 200 ? wire::parse_revision(body) : std::nullopt) {
-        roster_.stored(b, *rev);
-        roster_stored(t, b);
-        return write_roster(t);
-      }
-      // Refused, or nobody knows: a late arrival must not pass for a newer state than it is.
-      for (const auto& w : b.writes) reread_at_[w.chunk] = t + kStoreRetryMs;
-    }));
+    store_.commit(
+        now, Rank::lease, txn,
+        mine([this, b = std::move(*batch)](Ms t, int status, std::string_view body) {
+          if (const auto rev = status == 200 ? wire::parse_revision(body) : std::nullopt) {
+            roster_.stored(b, *rev);
+            roster_stored(t, b);
+            return write_roster(t);
+          }
+          // Refused, or nobody knows: a late arrival must not pass for a newer state than it is.
+          for (const auto& w : b.writes) reread_at_[w.chunk] = t + kStoreRetryMs;
+        }));
   }
 }
 
@@ -164,7 +180,8 @@
       for (auto& [key, p] : m.tasks) {
         if (p.booking != batch.number || p.booked) continue;
         p.booked = true;
-        out_.figures().observe(telemetry::Spread::roster_s, static_cast<double>(now - p.since) / 1000);
+        out_.figures().observe(telemetry::Spread::roster_s,
+                               static_cast<double>(now - p.since) / 1000);
       }
       if (m.held)
         answer(now, m, false);
@@ -191,22 +208,26 @@
     }
     const auto chunk = it->first;
     it = reread_at_.erase(it);
-    store_.get(now, Rank::leader, chunk_key(chunk), mine([this, chunk](Ms t, int status, std::string_view body) {
-      const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
-      if (item || status == 404)
-        roster_.reread(t, chunk, item ? item->version : 0);
-      else
-        reread_at_[chunk] = t + kStoreRetryMs;
-    }));
+    store_.get(now, Rank::leader, chunk_key(chunk),
+               mine([this, chunk](Ms t, int status, std::string_view body) {
+                 const auto item = status == 200 ? wire::parse_item(body) : std::nullopt;
+                 if (item || status == 404)
+                   roster_.reread(t, chunk, item ? item->version : 0);
+                 else
+                   reread_at_[chunk] = t + kStoreRetryMs;
+               }));
   }
 }
 
-// A takeover is over when every machine of the roster has spoken or is lost, and nothing else is in doubt.
+// A takeover is over when every machine of the roster has spoken or is lost, and nothing else is in
+// doubt.
 void Leader::settle(Ms now) {
   if (settled_ || !loaded_) return;
   const bool whole = leadership_.roster_whole() && strangers_.empty();
   if (!whole && doubt_open_) return;
-  if (std::any_of(fleet_.begin(), fleet_.end(), [](const Machine* m) { return m->rostered && !m->lost && !m->tasks.empty(); })) return;
+  if (std::any_of(fleet_.begin(), fleet_.end(),
+                  [](const Machine* m) { return m->rostered && !m->lost && !m->tasks.empty(); }))
+    return;
   settled_ = true;
   const double seconds = static_cast<double>(now - began_) / 1000;
   log(Event::takeover_settled, term_, seconds, silent_, nowhere_);
--- a/src/core/leader_selection.cpp
+++ b/src/core/leader_selection.cpp
@@ -1,8 +1,7 @@
-#include "core/leader.hpp"
-
 #include <algorithm>
 #include <cmath>
 
+#include "core/leader.hpp"
 #include "core/leader_parts.hpp"
 #include "settings/constants.hpp"
 
@@ -14,8 +13,9 @@
   portfolio::Snapshot s;
   for (const auto& t : teams_)
     s.teams.push_back({t.cpus, t.cpus_max, t.gpus_max, t.used_cpus, t.used_gpus});
-  // What has been silent for long is most likely gone, and its tasks will be waiting once its lease is over. What
-  // replaces it takes a boot: asked for now, it is up by then. Until then nothing of it starts anywhere.
+  // What has been silent for long is most likely gone, and its tasks will be waiting once its lease
+  // is over. What replaces it takes a boot: asked for now, it is up by then. Until then nothing of
+  // it starts anywhere.
   std::unordered_map<std::uint64_t, std::uint32_t> missing;
   for (const auto* m : fleet_) {
     if (!missed(now, *m)) continue;
@@ -75,7 +75,8 @@
     std::map<std::uint64_t, portfolio::Running> running;
     for (const auto& [key, p] : m->tasks) {
       auto& r = running[key.first];
-      const double run = p.job->spec.form == wire::Form::service ? kReplayHorizonS : run_time(*p.job);
+      const double run =
+          p.job->spec.form == wire::Form::service ? kReplayHorizonS : run_time(*p.job);
       const double ran = ran_s(now, p);
       const double left = left_s(run, ran);
       r.tasks = r.end_s == 0 ? 1 : r.tasks + 1;
@@ -118,7 +119,8 @@
   selector_.set_lambda(operator_.get("lambda", inputs));
   auto s = snapshot(now);
   if (s.queue.empty()) return;  // nothing to choose by; the last choice stands
-  const double budget_ms = static_cast<double>(period) * platform_.cores * operator_.get("replay_share", inputs);
+  const double budget_ms =
+      static_cast<double>(period) * platform_.cores * operator_.get("replay_share", inputs);
   selection_jobs_ = s.queue.size();
   selection_machines_ = s.machines.size();
   selection_steps_ = 0;
@@ -131,14 +133,15 @@
   selection_steps_ += spent;
   out_.figures().add(telemetry::Count::replay_steps, static_cast<double>(spent));
   if (!selector_.running()) {
-    log(Event::selection_replayed, selection_jobs_, selection_machines_, selector_.replayed(), selection_steps_,
-        static_cast<std::uint64_t>(steps_per_ms_));
+    log(Event::selection_replayed, selection_jobs_, selection_machines_, selector_.replayed(),
+        selection_steps_, static_cast<std::uint64_t>(steps_per_ms_));
     out_.figures().add(telemetry::Count::selections);
     out_.figures().observe(telemetry::Spread::replayed, static_cast<double>(selector_.replayed()));
   }
   if (!selector_.running() && selector_.replayed() > 0 && !(policy_ == selector_.chosen())) {
     policy_ = selector_.chosen();
-    log(Event::policy_chosen, portfolio::name(policy_), selector_.chosen_utility(), selector_.replayed());
+    log(Event::policy_chosen, portfolio::name(policy_), selector_.chosen_utility(),
+        selector_.replayed());
     dirty_ = true;
     schedule(now);
   }
