--- a/src/telemetry/story.hpp
+++ b/src/telemetry/story.hpp
@@ -1,5 +1,5 @@
-// The story that the logs of several controllers tell together: terms, takeovers, outages, what was lost and
-// regained, in the order of time. Reads JSON lines as the service writes them. Pure.
+// The story that the logs of several controllers tell together: terms, takeovers, outages, what was
+// lost and regained, in the order of time. Reads JSON lines as the service writes them. Pure.
 #pragma once
 #include <cstdint>
 #include <istream>
@@ -18,8 +18,8 @@
   std::string tell() const;
   std::size_t records() const { return records_.size(); }
   std::size_t not_understood() const { return bad_; }
-  // How far each node's clock is ahead of the one that led most often, ms: known from who led and when the others
-  // saw it. Below what delays explain: 0.
+  // How far each node's clock is ahead of the one that led most often, ms: known from who led and
+  // when the others saw it. Below what delays explain: 0.
   std::map<std::string, std::int64_t> clocks() const;
 
  private:
--- a/src/vouching/vouching.cpp
+++ b/src/vouching/vouching.cpp
@@ -66,8 +66,8 @@
   auto& o = it->second;
   if (o.since && asked < *o.since) return;  // late: what came after it knows more
   if (v.process != o.taken.process) {
-    // Whatever an earlier process told is known if this one has read it all; or if nothing was told since that one's last
-    // whole list: it had promised, and that still stands.
+    // Whatever an earlier process told is known if this one has read it all; or if nothing was told
+    // since that one's last whole list: it had promised, and that still stands.
     o.covered = now < o.bound_until;
     o.taken = {v.process, 0};
   }
--- a/src/vouching/vouching.hpp
+++ b/src/vouching/vouching.hpp
@@ -1,5 +1,6 @@
-// Which cancellations the controllers know of, so that a leader that can't read the store goes on only while it knows each
-// that any controller may have told a user. docs/safety.md, "Every cancellation that was told". Pure: time comes in.
+// Which cancellations the controllers know of, so that a leader that can't read the store goes on
+// only while it knows each that any controller may have told a user. docs/safety.md, "Every
+// cancellation that was told". Pure: time comes in.
 #pragma once
 #include <cstdint>
 #include <functional>
@@ -20,16 +21,19 @@
   bool operator==(const Taken&) const = default;
 };
 
-// What a promise vouches with: the cancellations numbered above `from` up to `to`, of `newest` in all.
+// What a promise vouches with: the cancellations numbered above `from` up to `to`, of `newest` in
+// all.
 struct Vouch {
   std::uint64_t process = 0;
-  bool read_all = false;  // the process has read all unfinished jobs since its start, or has told nothing else
+  bool read_all =
+      false;  // the process has read all unfinished jobs since its start, or has told nothing else
   std::uint64_t from = 0, to = 0, newest = 0;
   std::vector<std::string> jobs;
   bool operator==(const Vouch&) const = default;
 };
 
-// Jobs known here to be cancelled and not yet over, numbered in the order in which they became known.
+// Jobs known here to be cancelled and not yet over, numbered in the order in which they became
+// known.
 class Cancelled {
  public:
   std::function<void(const std::string& job)> on_added;
@@ -58,10 +62,11 @@
   explicit Vouchers(const std::vector<std::string>& others);
   void begin();  // a new term: nothing is known
   Taken taken(const std::string& node) const;
-  // One part of a vouch, asked for at `asked`; the promise with it stands until `until`, both by this clock. Its jobs are
-  // taken in by the caller, before.
+  // One part of a vouch, asked for at `asked`; the promise with it stands until `until`, both by
+  // this clock. Its jobs are taken in by the caller, before.
   void took(Ms now, Ms asked, Ms until, const std::string& node, const Vouch& vouch);
-  // Every cancellation told by another controller before this is known here. INT64_MIN: some controller has not vouched.
+  // Every cancellation told by another controller before this is known here. INT64_MIN: some
+  // controller has not vouched.
   Ms known_since() const;
   std::string missing(Ms since) const;  // names, whose list is not known as of then, with commas
 
@@ -70,7 +75,8 @@
     Taken taken;
     bool covered = false;  // nothing that an earlier process of this controller told is missing
     std::optional<Ms> since;
-    Ms bound_until = 0;    // of the promise that came with the last whole list: until then nothing else is told there
+    Ms bound_until = 0;  // of the promise that came with the last whole list: until then nothing
+                         // else is told there
   };
   std::map<std::string, Other> others_;
 };
--- a/src/wire/base64.cpp
+++ b/src/wire/base64.cpp
@@ -6,11 +6,13 @@
 namespace hitchfront::wire {
 namespace {
 
-constexpr std::string_view kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+constexpr std::string_view kDigits =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 constexpr auto kValues = [] {
   std::array<std::int8_t, 256> v{};
   v.fill(-1);
-  for (std::size_t i = 0; i < kDigits.size(); ++i) v[static_cast<unsigned char>(kDigits[i])] = static_cast<std::int8_t>(i);
+  for (std::size_t i = 0; i < kDigits.size(); ++i)
+    v[static_cast<unsigned char>(kDigits[i])] = static_cast<std::int8_t>(i);
   return v;
 }();
 
--- a/src/wire/batch.cpp
+++ b/src/wire/batch.cpp
@@ -47,8 +47,12 @@
 }
 
 // Times in milliseconds, rounded up: a grace must not get shorter on its way.
-std::uint64_t millis(double s) { return s > 0 ? static_cast<std::uint64_t>(std::ceil(s * 1000 - 1e-6)) : 0; }
-double seconds(std::uint64_t ms) { return static_cast<double>(ms) / 1000; }
+std::uint64_t millis(double s) {
+  return s > 0 ? static_cast<std::uint64_t>(std::ceil(s * 1000 - 1e-6)) : 0;
+}
+double seconds(std::uint64_t ms) {
+  return static_cast<double>(ms) / 1000;
+}
 
 void put(std::string& out, NameWriter& names, std::uint64_t id, const Report& r) {
   put_varint(out, id);
@@ -106,8 +110,11 @@
 
 }  // namespace
 
-std::string encode_reports(std::vector<std::pair<std::uint64_t, Report>>& reports, std::size_t most) {
-  return pack(reports, most, [](std::string& out, NameWriter& names, const auto& r) { put(out, names, r.first, r.second); });
+std::string encode_reports(std::vector<std::pair<std::uint64_t, Report>>& reports,
+                           std::size_t most) {
+  return pack(reports, most, [](std::string& out, NameWriter& names, const auto& r) {
+    put(out, names, r.first, r.second);
+  });
 }
 
 std::optional<std::vector<std::pair<std::uint64_t, Report>>> decode_reports(std::string_view text) {
@@ -139,7 +146,8 @@
       t.task = static_cast<std::uint32_t>(in.integer());
       t.attempt = get_attempt(in);
       const auto how = in.integer();
-      if (!in.ok() || (how >> 2 & 7) > static_cast<std::uint64_t>(Cause::unknown)) return std::nullopt;
+      if (!in.ok() || (how >> 2 & 7) > static_cast<std::uint64_t>(Cause::unknown))
+        return std::nullopt;
       t.state = static_cast<TaskState>(how & 3);
       t.cause = static_cast<Cause>(how >> 2 & 7);
       t.saved = (how >> 5 & 1) != 0;
@@ -152,7 +160,8 @@
 }
 
 std::string encode_answers(std::vector<RelayedAnswer>& answers, std::size_t most) {
-  return pack(answers, most, [](std::string& out, NameWriter& names, const auto& a) { put(out, names, a); });
+  return pack(answers, most,
+              [](std::string& out, NameWriter& names, const auto& a) { put(out, names, a); });
 }
 
 std::optional<std::vector<RelayedAnswer>> decode_answers(std::string_view text) {
--- a/src/wire/batch.hpp
+++ b/src/wire/batch.hpp
@@ -1,6 +1,6 @@
-// Many workers' reports, and the answers to them, in one value of the store: how controllers that can't
-// reach each other pass them on. Varint coded, names that repeat written once, and base64 so that the
-// value is a JSON string: about a tenth of the reports' own JSON.
+// Many workers' reports, and the answers to them, in one value of the store: how controllers that
+// can't reach each other pass them on. Varint coded, names that repeat written once, and base64 so
+// that the value is a JSON string: about a tenth of the reports' own JSON.
 #pragma once
 #include <cstdint>
 #include <optional>
@@ -21,7 +21,8 @@
 };
 
 // Takes as many as fit into `most` characters, but at least one; the rest stays in the vector.
-std::string encode_reports(std::vector<std::pair<std::uint64_t, Report>>& reports, std::size_t most);
+std::string encode_reports(std::vector<std::pair<std::uint64_t, Report>>& reports,
+                           std::size_t most);
 std::optional<std::vector<std::pair<std::uint64_t, Report>>> decode_reports(std::string_view text);
 std::string encode_answers(std::vector<RelayedAnswer>& answers, std::size_t most);
 std::optional<std::vector<RelayedAnswer>> decode_answers(std::string_view text);
--- a/src/wire/cloud.cpp
+++ b/src/wire/cloud.cpp
@@ -29,9 +29,16 @@
 std::string encode(const std::vector<MachineType>& types) {
   json list = json::array();
   for (const auto& m : types)
-    list.push_back({{"Name", m.name}, {"Cpus", m.cpus}, {"Cards", m.gpus}, {"RamGb", m.memory_gb},
-                    {"LocalGb", m.cache_gb}, {"PullGbPerS", m.fetch_gb_per_s}, {"Price", m.price},
-                    {"LowPrice", m.spot_price}, {"StartupS", m.boot_s}, {"Halls", m.zones}});
+    list.push_back({{"Name", m.name},
+                    {"Cpus", m.cpus},
+                    {"Cards", m.gpus},
+                    {"RamGb", m.memory_gb},
+                    {"LocalGb", m.cache_gb},
+                    {"PullGbPerS", m.fetch_gb_per_s},
+                    {"Price", m.price},
+                    {"LowPrice", m.spot_price},
+                    {"StartupS", m.boot_s},
+                    {"Halls", m.zones}});
   return json{{"Rigs", std::move(list)}}.dump();
 }
 
--- a/src/wire/job.cpp
+++ b/src/wire/job.cpp
@@ -56,7 +56,8 @@
   std::vector<std::string> awaits;
   std::set<std::string> seen;
   for (const auto& name : names) {
-    if (!name.is_string() || !valid_job_id(name.get_ref<const std::string&>())) refuse("Awaits", "must hold ids like run-000412");
+    if (!name.is_string() || !valid_job_id(name.get_ref<const std::string&>()))
+      refuse("Awaits", "must hold ids like run-000412");
     auto id = name.get<std::string>();
     if (id == own_id) refuse("Awaits", "names the job itself");
     if (!seen.insert(id).second) refuse("Awaits", "names a job twice");
@@ -122,13 +123,19 @@
   return job;
 }
 
-const char* name(Form f) { return f == Form::service ? "service" : "sweep"; }
+const char* name(Form f) {
+  return f == Form::service ? "service" : "sweep";
+}
 const char* name(Priority p) {
   switch (p) {
-    case Priority::production: return "production";
-    case Priority::high: return "urgent";
-    case Priority::normal: return "standard";
-    case Priority::low: return "idle";
+    case Priority::production:
+      return "production";
+    case Priority::high:
+      return "urgent";
+    case Priority::normal:
+      return "standard";
+    case Priority::low:
+      return "idle";
   }
   return "idle";
 }
@@ -163,12 +170,23 @@
 }
 
 json to_json(const Job& j) {
-  json o = {{"Ref", j.id},           {"Docket", j.job_class},    {"Desk", j.team},
-            {"Form", name(j.form)},  {"Standing", name(j.priority)}, {"Lots", j.tasks},
-            {"Cpus", j.cpus},        {"Cards", j.gpus},          {"RamGb", j.memory_gb},
-            {"Together", j.one_zone}, {"Spread", j.spread},      {"Loaners", j.spot},
-            {"Kit", j.image},        {"ImageGb", j.image_gb},    {"ReckonS", j.estimate_s},
-            {"MarkS", j.checkpoint_s}, {"StowS", j.save_s}};
+  json o = {{"Ref", j.id},
+            {"Docket", j.job_class},
+            {"Desk", j.team},
+            {"Form", name(j.form)},
+            {"Standing", name(j.priority)},
+            {"Lots", j.tasks},
+            {"Cpus", j.cpus},
+            {"Cards", j.gpus},
+            {"RamGb", j.memory_gb},
+            {"Together", j.one_zone},
+            {"Spread", j.spread},
+            {"Loaners", j.spot},
+            {"Kit", j.image},
+            {"ImageGb", j.image_gb},
+            {"ReckonS", j.estimate_s},
+            {"MarkS", j.checkpoint_s},
+            {"StowS", j.save_s}};
   if (j.types) o["Rigs"] = *j.types;
   if (j.zone) o["Hall"] = *j.zone;
   if (j.deadline_s) o["DueS"] = *j.deadline_s;
@@ -177,16 +195,19 @@
 }
 
 std::string encode(const LiveRecord& r) {
-  return json{{"job", to_json(r.job)}, {"at", r.accepted_ms}, {"gone", r.withdrawn}, {"mark", r.mark}}
+  return json{
+      {"job", to_json(r.job)}, {"at", r.accepted_ms}, {"gone", r.withdrawn}, {"mark", r.mark}}
       .dump();
 }
 
-std::string encode_within(const LiveRecord& r, std::size_t most, const std::vector<std::string>& known_types) {
+std::string encode_within(const LiveRecord& r, std::size_t most,
+                          const std::vector<std::string>& known_types) {
   auto text = encode(r);
   if (text.size() <= most || !r.job.types) return text;
   auto shorter = r;
   std::erase_if(*shorter.job.types, [&](const std::string& type) {
-    return r.withdrawn || std::find(known_types.begin(), known_types.end(), type) == known_types.end();
+    return r.withdrawn ||
+           std::find(known_types.begin(), known_types.end(), type) == known_types.end();
   });
   return encode(shorter);
 }
--- a/src/wire/job.hpp
+++ b/src/wire/job.hpp
@@ -12,7 +12,7 @@
 enum class Form { array, service };
 enum class Priority { production = 3, high = 2, normal = 1, low = 0 };
 
-inline constexpr std::size_t kMaxBody = 64 * 1024;  // bytes; PROTOCOL, request bodies
+inline constexpr std::size_t kMaxBody = 64 * 1024;   // bytes; PROTOCOL, request bodies
 inline constexpr std::uint32_t kMaxTasks = 100'000;  // PROTOCOL, `Lots`
 
 struct Job {
@@ -53,9 +53,11 @@
   std::uint32_t mark = 0;  // tasks below it may have been launched
 };
 std::string encode(const LiveRecord& record);
-// At most so many bytes where that can be had: a record that an earlier version accepted under a larger limit loses the
-// names of machine types that nobody knows, or all of them once the job is cancelled and needs none.
-std::string encode_within(const LiveRecord& record, std::size_t most, const std::vector<std::string>& known_types);
+// At most so many bytes where that can be had: a record that an earlier version accepted under a
+// larger limit loses the names of machine types that nobody knows, or all of them once the job is
+// cancelled and needs none.
+std::string encode_within(const LiveRecord& record, std::size_t most,
+                          const std::vector<std::string>& known_types);
 // Bytes by which a record may grow after its acceptance: its mark gets more digits.
 inline constexpr std::size_t kRecordGrowth = 8;
 std::optional<LiveRecord> decode_live(const nlohmann::json& value);
--- a/src/wire/level.cpp
+++ b/src/wire/level.cpp
@@ -6,7 +6,11 @@
 using nlohmann::json;
 
 std::string encode(const Level& l) {
-  json o = {{"active", l.active}, {"low", l.low}, {"high", l.high}, {"since", l.since_s}, {"term", l.term}};
+  json o = {{"active", l.active},
+            {"low", l.low},
+            {"high", l.high},
+            {"since", l.since_s},
+            {"term", l.term}};
   if (l.generation != 0) {
     o["lineage"] = l.lineage;
     o["generation"] = l.generation;
@@ -16,8 +20,10 @@
 
 std::optional<Level> decode_level(const json& v) {
   try {
-    Level l{v.at("active").get<std::uint32_t>(), v.at("low").get<std::uint32_t>(), v.at("high").get<std::uint32_t>(),
-            v.at("since").get<std::int64_t>(), v.at("term").get<std::uint64_t>(), v.value("lineage", ""), v.value("generation", std::uint64_t{0})};
+    Level l{v.at("active").get<std::uint32_t>(),    v.at("low").get<std::uint32_t>(),
+            v.at("high").get<std::uint32_t>(),      v.at("since").get<std::int64_t>(),
+            v.at("term").get<std::uint64_t>(),      v.value("lineage", ""),
+            v.value("generation", std::uint64_t{0})};
     if (l.low < 1 || l.low > l.active || l.active > l.high) return std::nullopt;
     return l;
   } catch (const json::exception&) {
@@ -26,13 +32,16 @@
 }
 
 std::string encode(const Announcement& a) {
-  return json{{"node", a.node}, {"version", a.version}, {"life", a.life}, {"from", a.from}, {"to", a.to}, {"since", a.since_s}}.dump();
+  return json{{"node", a.node}, {"version", a.version}, {"life", a.life},
+              {"from", a.from}, {"to", a.to},           {"since", a.since_s}}
+      .dump();
 }
 
 std::optional<Announcement> decode_announcement(const json& v) {
   try {
-    return Announcement{v.at("node").get<std::string>(), v.at("version").get<std::string>(), v.at("life").get<std::uint64_t>(),
-                        v.at("from").get<std::uint32_t>(), v.at("to").get<std::uint32_t>(), v.at("since").get<std::int64_t>()};
+    return Announcement{v.at("node").get<std::string>(),   v.at("version").get<std::string>(),
+                        v.at("life").get<std::uint64_t>(), v.at("from").get<std::uint32_t>(),
+                        v.at("to").get<std::uint32_t>(),   v.at("since").get<std::int64_t>()};
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -76,7 +85,9 @@
 std::optional<std::uint64_t> decode_term(const json& v) {
   if (v.is_number_unsigned()) return v.get<std::uint64_t>();
   const auto it = v.is_object() ? v.find("term") : v.end();
-  return v.is_object() && it != v.end() && it->is_number_unsigned() ? std::optional(it->get<std::uint64_t>()) : std::nullopt;
+  return v.is_object() && it != v.end() && it->is_number_unsigned()
+             ? std::optional(it->get<std::uint64_t>())
+             : std::nullopt;
 }
 
 }  // namespace hitchfront::wire
--- a/src/wire/level.hpp
+++ b/src/wire/level.hpp
@@ -1,5 +1,5 @@
-// What the controllers agree on about the form of the stored state (key `level`), and what each of them says of itself
-// (key `node/<name>`, and with each sign of life between controllers).
+// What the controllers agree on about the form of the stored state (key `level`), and what each of
+// them says of itself (key `node/<name>`, and with each sign of life between controllers).
 #pragma once
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -9,13 +9,14 @@
 
 namespace hitchfront::wire {
 
-// The form in which values are written, and the forms that may still stand in the store. A store without the key is
-// of level 1: that of the versions which know no levels.
+// The form in which values are written, and the forms that may still stand in the store. A store
+// without the key is of level 1: that of the versions which know no levels.
 struct Level {
   std::uint32_t active = 1;
-  std::uint32_t low = 1, high = 1;  // low <= active <= high; equal once every value is of the active form
-  std::int64_t since_s = 0;         // wall clock, seconds since 1970
-  std::uint64_t term = 0;           // whose leader switched
+  std::uint32_t low = 1,
+                high = 1;    // low <= active <= high; equal once every value is of the active form
+  std::int64_t since_s = 0;  // wall clock, seconds since 1970
+  std::uint64_t term = 0;    // whose leader switched
   // From level 3 on: whose state this is, drawn once, and how often it was rebuilt, from 1.
   std::string lineage;
   std::uint64_t generation = 0;
@@ -34,7 +35,8 @@
 };
 std::string encode(const Announcement& announcement);
 std::optional<Announcement> decode_announcement(const nlohmann::json& value);
-// In a sign of life: varint coded, without the node's name, which the link knows. Empty: a version that says nothing.
+// In a sign of life: varint coded, without the node's name, which the link knows. Empty: a version
+// that says nothing.
 struct Sign {
   Announcement said;
   std::uint64_t seen = 0;        // the highest revision of the store in any answer
@@ -44,8 +46,9 @@
 std::string encode_sign(const Sign& sign);
 std::optional<Sign> decode_sign(std::string_view node, std::string_view text);
 
-// The value of `term`. While a value above level 1 may stand in the store it is an object, which versions that know no
-// levels don't take for a term: so they never lead, and write nothing but what every version reads alike.
+// The value of `term`. While a value above level 1 may stand in the store it is an object, which
+// versions that know no levels don't take for a term: so they never lead, and write nothing but
+// what every version reads alike.
 std::string encode_term(std::uint64_t term, const Level& level);
 std::optional<std::uint64_t> decode_term(const nlohmann::json& value);
 
--- a/src/wire/progress.cpp
+++ b/src/wire/progress.cpp
@@ -40,7 +40,9 @@
   std::string bytes;
   for (std::size_t t = 0; t < done.size(); ++t) {
     if (t % kByteBits == 0) bytes.push_back('\0');
-    if (done[t]) bytes.back() = static_cast<char>(static_cast<unsigned char>(bytes.back()) | 1U << t % kByteBits);
+    if (done[t])
+      bytes.back() =
+          static_cast<char>(static_cast<unsigned char>(bytes.back()) | 1U << t % kByteBits);
   }
   return kBitsMark + to_base64(bytes);
 }
@@ -66,7 +68,8 @@
   for (bool value = false; !in.at_end(); value = !value) {
     const auto n = in.integer();
     if (!in.ok() || n > tasks - at) return std::nullopt;
-    for (std::uint64_t i = 0; value && i < n; ++i) p.done.push_back(static_cast<std::uint32_t>(at + i));
+    for (std::uint64_t i = 0; value && i < n; ++i)
+      p.done.push_back(static_cast<std::uint32_t>(at + i));
     at += n;
   }
   return p;
--- a/src/wire/roster.cpp
+++ b/src/wire/roster.cpp
@@ -11,8 +11,12 @@
 
 constexpr std::uint64_t kVersion = 1;
 
-std::uint64_t zigzag(std::int64_t v) { return static_cast<std::uint64_t>(v) << 1 ^ static_cast<std::uint64_t>(v >> 63); }
-std::int64_t unzigzag(std::uint64_t v) { return static_cast<std::int64_t>(v >> 1) ^ -static_cast<std::int64_t>(v & 1); }
+std::uint64_t zigzag(std::int64_t v) {
+  return static_cast<std::uint64_t>(v) << 1 ^ static_cast<std::uint64_t>(v >> 63);
+}
+std::int64_t unzigzag(std::uint64_t v) {
+  return static_cast<std::int64_t>(v >> 1) ^ -static_cast<std::int64_t>(v & 1);
+}
 
 }  // namespace
 
@@ -25,7 +29,8 @@
   groups_n_ = 0;
 }
 
-void RosterWriter::machine(std::string_view name, std::string_view type, std::string_view zone, bool spot, bool up, std::int64_t born_s) {
+void RosterWriter::machine(std::string_view name, std::string_view type, std::string_view zone,
+                           bool spot, bool up, std::int64_t born_s) {
   close();
   if (!any_) put_varint(out_, kVersion);
   any_ = true;
@@ -35,9 +40,11 @@
   put_varint(open_, same);
   put_text(open_, name.substr(same));
   last_name_ = name;
-  const std::string offer = std::string(type) + '\n' + std::string(zone) + '\n' + (spot ? '1' : '0');
+  const std::string offer =
+      std::string(type) + '\n' + std::string(zone) + '\n' + (spot ? '1' : '0');
   const auto it = std::find(offers_.begin(), offers_.end(), offer);
-  const auto number = it == offers_.end() ? 0 : static_cast<std::uint64_t>(it - offers_.begin()) + 1;
+  const auto number =
+      it == offers_.end() ? 0 : static_cast<std::uint64_t>(it - offers_.begin()) + 1;
   put_varint(open_, number << 1 | (up ? 1U : 0U));
   if (number == 0) {
     offers_.push_back(offer);
@@ -49,7 +56,8 @@
   last_born_ = born_s;
 }
 
-void RosterWriter::tasks(std::uint64_t job_key, std::string_view job, const std::vector<std::uint32_t>& tasks) {
+void RosterWriter::tasks(std::uint64_t job_key, std::string_view job,
+                         const std::vector<std::uint32_t>& tasks) {
   ++groups_n_;
   const auto [it, first] = jobs_.emplace(job_key, jobs_.size() + 1);
   put_varint(groups_, first ? 0 : it->second);
@@ -81,7 +89,8 @@
   std::unordered_map<std::string, std::uint64_t> keys;
   for (const auto& m : machines) {
     w.machine(m.name, m.type, m.zone, m.spot, m.up, m.born_s);
-    for (const auto& t : m.tasks) w.tasks(keys.emplace(t.job, keys.size()).first->second, t.job, t.tasks);
+    for (const auto& t : m.tasks)
+      w.tasks(keys.emplace(t.job, keys.size()).first->second, t.job, t.tasks);
   }
   return w.finish();
 }
@@ -140,7 +149,8 @@
         const auto from = end + in.integer();
         const auto length = in.integer() + 1;
         if (!in.ok() || from >= kMaxTasks || length > kMaxTasks - from) return std::nullopt;
-        for (auto at = from; at < from + length; ++at) t.tasks.push_back(static_cast<std::uint32_t>(at));
+        for (auto at = from; at < from + length; ++at)
+          t.tasks.push_back(static_cast<std::uint32_t>(at));
         end = from + length;
       }
       if (!in.ok()) return std::nullopt;
--- a/src/wire/roster.hpp
+++ b/src/wire/roster.hpp
@@ -1,6 +1,6 @@
-// A part of the roster as the store keeps it: machines, and the tasks that each may have on it. Varint coded, names
-// sorted and written as what differs from the one before, tasks as runs; base64, so that it is a JSON string. A fleet
-// of 1,300 machines with 4,000 tasks takes some 25 KB.
+// A part of the roster as the store keeps it: machines, and the tasks that each may have on it.
+// Varint coded, names sorted and written as what differs from the one before, tasks as runs;
+// base64, so that it is a JSON string. A fleet of 1,300 machines with 4,000 tasks takes some 25 KB.
 #pragma once
 #include <cstdint>
 #include <optional>
@@ -24,10 +24,12 @@
   std::vector<Tasks> tasks;
 };
 
-// Writes machines in the order of their names; a job is known by a key of the caller's while it writes.
+// Writes machines in the order of their names; a job is known by a key of the caller's while it
+// writes.
 class RosterWriter {
  public:
-  void machine(std::string_view name, std::string_view type, std::string_view zone, bool spot, bool up, std::int64_t born_s);
+  void machine(std::string_view name, std::string_view type, std::string_view zone, bool spot,
+               bool up, std::int64_t born_s);
   // Of the machine named last. `tasks` ascending and not empty.
   void tasks(std::uint64_t job_key, std::string_view job, const std::vector<std::uint32_t>& tasks);
   std::string finish();  // the value, without quotes
--- a/src/wire/state.cpp
+++ b/src/wire/state.cpp
@@ -55,11 +55,15 @@
   for (const auto& change : then_) {
     const auto it = change.contains("Set") ? change.find("Set") : change.find("Drop");
     const std::string_view key = it->get_ref<const std::string&>();
-    f(key.substr(0, std::min(key.size(), key.find('/') == std::string_view::npos ? key.size() : key.find('/') + 1)));
+    f(key.substr(
+        0, std::min(key.size(),
+                    key.find('/') == std::string_view::npos ? key.size() : key.find('/') + 1)));
   }
 }
 
-std::string get_path(std::string_view key) { return "/store/" + std::string(key); }
+std::string get_path(std::string_view key) {
+  return "/store/" + std::string(key);
+}
 std::string range_path(std::string_view prefix, std::string_view after, std::uint32_t limit) {
   std::string p = "/store?Under=" + std::string(prefix);
   if (!after.empty()) p += "&After=" + std::string(after);
@@ -69,9 +73,15 @@
   return "/watch?Under=" + std::string(prefix) + "&After=" + std::to_string(after) +
          "&HoldMs=" + std::to_string(wait_ms);
 }
-std::string hold_body(std::uint32_t ttl_ms) { return json{{"LifeMs", ttl_ms}}.dump(); }
-std::string touch_path(std::uint64_t lease) { return "/holds/" + std::to_string(lease) + "/touch"; }
-std::string end_path(std::uint64_t lease) { return "/holds/" + std::to_string(lease); }
+std::string hold_body(std::uint32_t ttl_ms) {
+  return json{{"LifeMs", ttl_ms}}.dump();
+}
+std::string touch_path(std::uint64_t lease) {
+  return "/holds/" + std::to_string(lease) + "/touch";
+}
+std::string end_path(std::uint64_t lease) {
+  return "/holds/" + std::to_string(lease);
+}
 
 std::optional<Item> parse_item(std::string_view body) {
   return guarded(body, [](json o) { return read_item(o); });
--- a/src/wire/state.hpp
+++ b/src/wire/state.hpp
@@ -36,7 +36,8 @@
  public:
   Txn& if_version(std::string key, std::uint64_t version);
   Txn& put(std::string key, std::string_view value, std::uint64_t lease = 0);
-  Txn& put_text(std::string key, std::string text);  // a JSON string, given as the text that it holds
+  Txn& put_text(std::string key,
+                std::string text);  // a JSON string, given as the text that it holds
   Txn& drop(std::string key);
   // With one more condition, where `level` is given: that key's version.
   std::string body(std::string_view level_key = {}, std::uint64_t version = 0) const;
--- a/src/wire/vouch.hpp
+++ b/src/wire/vouch.hpp
@@ -1,4 +1,5 @@
-// What a promise between controllers vouches with (vouching/), and what the leader has taken in of it, varint coded.
+// What a promise between controllers vouches with (vouching/), and what the leader has taken in of
+// it, varint coded.
 #pragma once
 #include "vouching/vouching.hpp"
 
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -58,7 +58,9 @@
 
 }  // namespace
 
-std::string_view name(Cause cause) { return name_of(kCauses, cause); }
+std::string_view name(Cause cause) {
+  return name_of(kCauses, cause);
+}
 
 std::optional<Report> parse_report(std::string_view body) {
   json o = json::parse(body, nullptr, false);
@@ -73,7 +75,8 @@
     r.session = o.at("Tenure").get<std::uint64_t>();
     r.seq = o.at("Tally").get<std::uint64_t>();
     r.token = o.value("Warrant", std::uint64_t{0});
-    if (auto it = o.find("RecallS"); it != o.end() && it->is_number()) r.notice_s = it->get<double>();
+    if (auto it = o.find("RecallS"); it != o.end() && it->is_number())
+      r.notice_s = it->get<double>();
     if (auto it = o.find("Lots"); it != o.end() && it->is_array()) {
       for (const auto& t : *it) {
         ReportedTask task;
@@ -86,7 +89,8 @@
         if (task.state == TaskState::ended) {
           auto cause = t.find("Cause");
           if (cause != t.end() && cause->is_string())
-            task.cause = by_name(kCauses, cause->get_ref<const std::string&>()).value_or(Cause::error);
+            task.cause =
+                by_name(kCauses, cause->get_ref<const std::string&>()).value_or(Cause::error);
           else
             task.cause = Cause::error;
           if (auto k = t.find("Kept"); k != t.end() && k->is_boolean()) task.saved = k->get<bool>();
@@ -139,7 +143,8 @@
     a.token = o.at("Warrant").get<std::uint64_t>();
     for (const auto& c : o.at("Orders")) {
       Command cmd;
-      if (!split_lot(c.at("Lot").get_ref<const std::string&>(), cmd.job, cmd.task)) return std::nullopt;
+      if (!split_lot(c.at("Lot").get_ref<const std::string&>(), cmd.job, cmd.task))
+        return std::nullopt;
       cmd.attempt = c.at("Try").get<std::uint64_t>();
       auto op = by_name(kOps, c.at("Verb").get_ref<const std::string&>());
       if (!op) return std::nullopt;
--- a/standins/host.hpp
+++ b/standins/host.hpp
@@ -16,12 +16,13 @@
 
 struct HostOptions {
   std::int64_t report_ms = 1000, lease_ms = 10'000;
-  std::int64_t tick_ms = 20;         // between two looks at every machine
-  std::int64_t list_lag_ms = 1000;   // of the cloud's list of machines
-  int machines = 4;                  // of each type, zone and kind that the cloud has
-  int connections = 500;             // accepted by the state service, and by the cloud
-  // Each machine reports over a connection of its own, and takes commands at its own address: what it costs in sockets is
-  // then what real workers cost. Otherwise they share a few connections, and no command reaches them directly.
+  std::int64_t tick_ms = 20;        // between two looks at every machine
+  std::int64_t list_lag_ms = 1000;  // of the cloud's list of machines
+  int machines = 4;                 // of each type, zone and kind that the cloud has
+  int connections = 500;            // accepted by the state service, and by the cloud
+  // Each machine reports over a connection of its own, and takes commands at its own address: what
+  // it costs in sockets is then what real workers cost. Otherwise they share a few connections, and
+  // no command reaches them directly.
   bool own_sockets = false;
   bool commands = true;  // false: machines give no address, and nothing listens for commands
   std::string command_network = "127.1";  // first half of the machines' addresses
@@ -30,9 +31,9 @@
 
 // Counts of what went between machines and controllers.
 struct HostTraffic {
-  std::uint64_t reports = 0, answered = 0;                // answered: with 200
-  std::uint64_t report_bytes = 0, answer_bytes = 0;       // bodies
-  std::uint64_t commands = 0, command_bytes = 0;          // direct ones; bodies both ways
+  std::uint64_t reports = 0, answered = 0;           // answered: with 200
+  std::uint64_t report_bytes = 0, answer_bytes = 0;  // bodies
+  std::uint64_t commands = 0, command_bytes = 0;     // direct ones; bodies both ways
   std::uint64_t leases_lost = 0;
 };
 
@@ -40,8 +41,9 @@
  public:
   using RunTime = std::function<double(const std::string& job, std::uint32_t task)>;  // seconds
   // `nodes`: controllers by name, with the addresses that workers report to.
-  Host(event_base* base, const std::string& state, const std::string& cloud, std::map<std::string, std::string> nodes,
-       std::vector<wire::MachineType> types, RunTime run_s, HostOptions options = {});
+  Host(event_base* base, const std::string& state, const std::string& cloud,
+       std::map<std::string, std::string> nodes, std::vector<wire::MachineType> types,
+       RunTime run_s, HostOptions options = {});
   ~Host();
   // One way between the machines of a zone and every controller.
   void set_delay(const std::string& zone, std::int64_t ms) { delays_[zone] = ms; }
@@ -52,7 +54,8 @@
   const HostTraffic& traffic() const { return traffic_; }
   std::uint64_t store_requests() const { return store_requests_; }
   // What happens on the machines, and the state service itself, for whoever watches or breaks it.
-  std::function<void(const Worker::Place& place, const std::string& job, std::uint32_t task)> on_started, on_left, on_done;
+  std::function<void(const Worker::Place&place, const std::string&job, std::uint32_t task)>
+      on_started, on_left, on_done;
   Store& store() { return store_; }
   Cloud& cloud() { return cloud_; }
 
@@ -70,7 +73,8 @@
   void add(const Cloud::Machine& m);
   void send(Machine& machine, Worker::Outgoing out);
   void answered(std::uint64_t call, int status, const std::string& body);
-  void command(const std::string& machine, std::uint64_t request, const char* path, const std::string& body);
+  void command(const std::string& machine, std::uint64_t request, const char* path,
+               const std::string& body);
   net::Client& client(Machine& machine, const std::string& node);
   void later(std::int64_t ms, std::function<void()> what);
   bool is_cut(const Machine& machine) const { return cut_.contains(machine.worker->place().zone); }
--- a/standins/process.hpp
+++ b/standins/process.hpp
@@ -18,7 +18,8 @@
   Process& operator=(Process&&) = delete;
 
   // Standard error goes to the end of `log`. False: it could not be started.
-  bool start(const std::string& program, const std::vector<std::string>& arguments, const std::string& log);
+  bool start(const std::string& program, const std::vector<std::string>& arguments,
+             const std::string& log);
   void kill();  // without a chance to say anything, and waits for it
   void freeze();
   void thaw();
--- a/standins/store.hpp
+++ b/standins/store.hpp
@@ -22,22 +22,25 @@
 
 class Store {
  public:
-  void handle(std::int64_t now, const std::string& method, const std::string& path, const std::string& body,
-              Answer answer);
+  void handle(std::int64_t now, const std::string& method, const std::string& path,
+              const std::string& body, Answer answer);
   void tick(std::int64_t now);  // ends leases, answers watches
   void set_outage(std::int64_t now, bool outage);
   bool outage() const { return outage_; }
   std::size_t keys() const { return items_.size(); }
   const nlohmann::json* value(const std::string& key) const;
   // Everything below a prefix, as it stands there.
-  void each(const std::string& prefix, const std::function<void(const std::string& key, const nlohmann::json& value)>& visit) const;
-  std::size_t written(const std::string& prefix) const;  // puts and deletes so far of keys with this first part
+  void each(
+      const std::string& prefix,
+      const std::function<void(const std::string& key, const nlohmann::json& value)>& visit) const;
+  std::size_t written(
+      const std::string& prefix) const;  // puts and deletes so far of keys with this first part
   std::uint64_t changes() const { return changes_; }  // puts and deletes so far
   int txn_ops = 12;
   std::size_t value_bytes = 32 * 1024;
   std::size_t too_large = 0;  // transactions refused for one of these two limits
-  // Losses. A copy of any moment can be kept and put back, with its revision, its change log and its leases, which then
-  // have their full time; or everything goes.
+  // Losses. A copy of any moment can be kept and put back, with its revision, its change log and
+  // its leases, which then have their full time; or everything goes.
   struct Kept;
   std::shared_ptr<const Kept> keep() const;
   void put_back(std::int64_t now, const Kept& kept);
@@ -64,7 +67,8 @@
     Answer answer;
   };
   Response txn(const std::string& body);
-  Response lease_call(std::int64_t now, const std::string& method, const std::string& path, const std::string& body);
+  Response lease_call(std::int64_t now, const std::string& method, const std::string& path,
+                      const std::string& body);
   Response read(const std::string& path) const;
   bool answer_watch(Watch& w, bool expired);
   void changed();
@@ -75,7 +79,8 @@
   std::deque<Change> log_;
   std::uint64_t forgotten_ = 0;  // revision of the newest change no longer kept
   std::vector<Watch> watches_;
-  std::map<std::string, std::size_t, std::less<>> written_;  // by the part of the key up to its first slash
+  std::map<std::string, std::size_t, std::less<>>
+      written_;  // by the part of the key up to its first slash
   std::uint64_t revision_ = 0, next_lease_ = 1, changes_ = 0;
   bool outage_ = false;
 };
--- a/standins/worker.hpp
+++ b/standins/worker.hpp
@@ -24,16 +24,18 @@
     // The job's description, or nothing if nobody submitted it.
     std::function<const wire::Job*(const std::string& id)> job;
     std::function<double(const std::string& id, std::uint32_t task)> run_s;
-    std::function<bool(const std::string& id, std::uint32_t task)> completed;  // result kept elsewhere
-    std::function<bool(const std::string& id, std::uint32_t task)> fails;  // a second after its start
-    std::function<void(const std::string& id, std::uint32_t task)> started, left, done;
+    std::function<bool(const std::string& id, std::uint32_t task)>
+        completed;  // result kept elsewhere
+    std::function<bool(const std::string& id, std::uint32_t task)>
+        fails;  // a second after its start
+    std::function<void(const std::string&id, std::uint32_t task)> started, left, done;
     std::function<void()> lease_over;
   };
   Worker(Place place, std::vector<std::string> nodes, std::int64_t now, std::int64_t report_ms,
          std::int64_t lease_ms, Hooks hooks, std::uint64_t seed);
 
-  // The machine's network and power are the world's: it asks for a report to send, and hands in what
-  // comes back.
+  // The machine's network and power are the world's: it asks for a report to send, and hands in
+  // what comes back.
   struct Outgoing {
     std::string node, body;
     std::uint64_t id;
@@ -71,7 +73,8 @@
   Hooks hooks_;
   std::mt19937_64 random_;
   std::uint64_t session_ = 1, seq_ = 0, token_ = 0, in_flight_ = 0, next_id_ = 1;
-  std::int64_t in_flight_since_ = 0, next_report_ = 0, not_before_ = 0, last_sent_ = -1'000'000, answered_sent_;
+  std::int64_t in_flight_since_ = 0, next_report_ = 0, not_before_ = 0, last_sent_ = -1'000'000,
+               answered_sent_;
   std::uint64_t in_flight_session_ = 0;
   bool changed_ = true;
   std::map<std::pair<std::string, std::uint32_t>, Task> tasks_;
--- a/tests/hearing_test.cpp
+++ b/tests/hearing_test.cpp
@@ -1,8 +1,8 @@
 // The leader's two books of each machine, by themselves.
-#include <gtest/gtest.h>
-
 #include "core/hearing.hpp"
 
+#include <gtest/gtest.h>
+
 namespace hitchfront::core {
 namespace {
 using namespace settings;
