--- a/review/kit/controllers.hpp
+++ b/review/kit/controllers.hpp
@@ -41,7 +41,7 @@
     for (std::size_t i = 0; i < zones.size(); ++i)
       nodes_.push_back(
           {"hitchpost-" + std::to_string(i), zones[i], ports[2 * i], ports[2 * i + 1]});
-    services_ = {{"cloud", address(cloud_port)}, {"state", address(store_port)}};
+    services_ = {{"cloud", endpoint(cloud_port)}, {"state", endpoint(store_port)}};
     params_ = params;
   }
   // Settings for starts from now on.
@@ -56,11 +56,11 @@
     for (const auto& other : nodes_)
       if (other.name != node.name)
         known.push_back(
-            {{"node", other.name}, {"area", other.zone}, {"endpoint", address(other.peer_port)}});
+            {{"node", other.name}, {"area", other.zone}, {"endpoint", endpoint(other.peer_port)}});
     const nlohmann::json settings = {{"node", node.name},
                                      {"area", node.zone},
-                                     {"client_listen", address(node.client_port)},
-                                     {"peer_listen", address(node.peer_port)},
+                                     {"client_listen", endpoint(node.client_port)},
+                                     {"peer_listen", endpoint(node.peer_port)},
                                      {"known", known},
                                      {"services", services_},
                                      {"params", params_}};
@@ -96,16 +96,18 @@
     ::kill(nodes_.at(i).pid, SIGCONT);
     record_.line("%s goes on", nodes_.at(i).name.c_str());
   }
-  // How a process ended that nobody killed; empty: it runs.
-  std::string ended_by_itself(std::size_t i) {
+  // Whether a process has ended that nobody killed, and how: by a signal, or by its own exit.
+  enum class End { none, signal, exit };
+  End ended_by_itself(std::size_t i) {
     auto& node = nodes_.at(i);
     int status = 0;
-    if (!node.running() || waitpid(node.pid, &status, WNOHANG) != node.pid) return {};
+    if (!node.running() || waitpid(node.pid, &status, WNOHANG) != node.pid) return End::none;
     node.pid = 0;
-    const auto how = WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
-                                         : "exit status " + std::to_string(WEXITSTATUS(status));
-    record_.line("%s has ended by itself: %s", node.name.c_str(), how.c_str());
-    return how;
+    const bool by_signal = WIFSIGNALED(status);
+    record_.line("%s has ended by itself: %s %d", node.name.c_str(),
+                 by_signal ? "signal" : "exit status",
+                 by_signal ? WTERMSIG(status) : WEXITSTATUS(status));
+    return by_signal ? End::signal : End::exit;
   }
   void kill_all() {
     for (std::size_t i = 0; i < nodes_.size(); ++i) kill(i);
@@ -118,7 +120,6 @@
     return wait_until(
         timeout_ms, [&] { return healthy(i); }, 20);
   }
-  static std::string address(int port) { return "127.0.0.1:" + std::to_string(port); }
 
  private:
   std::string program_, folder_;
--- a/review/kit/http.hpp
+++ b/review/kit/http.hpp
@@ -33,11 +33,27 @@
   std::string body;
 };
 
+// An address of the loopback network that no other run uses at the same time, so that runs side by
+// side can't take each other's ports.
+inline const std::string& loopback_address() {
+  static const std::string address = [] {
+    constexpr int kPerByte = 250;
+    const int number = static_cast<int>(getpid());
+    return "127." + std::to_string(number / kPerByte % kPerByte + 1) + "." +
+           std::to_string(number % kPerByte + 1) + ".1";
+  }();
+  return address;
+}
+
+inline std::string endpoint(int port) {
+  return loopback_address() + ":" + std::to_string(port);
+}
+
 inline sockaddr_in address_of(int port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, loopback_address().c_str(), &address.sin_addr);
   return address;
 }
 
@@ -156,7 +172,7 @@
   Server& operator=(const Server&) = delete;
   // Servers live as long as the program: it ends without waiting for their threads.
   int port() const { return port_; }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::string address() const { return endpoint(port_); }
 
  private:
   void accept_all() {
@@ -205,8 +221,8 @@
     auto& stream = *stream_.get();
     std::string head;
     Reply reply;
-    if (!stream.send_all(method + " " + path +
-                         " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Type: application/json\r\n"
+    if (!stream.send_all(method + " " + path + " HTTP/1.1\r\nHost: " + loopback_address() +
+                         "\r\nContent-Type: application/json\r\n"
                          "Content-Length: " +
                          std::to_string(body.size()) + "\r\n\r\n" + body) ||
         !stream.read_message(head, reply.body, deadline)) {
