--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -11,7 +11,7 @@
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
 # The controllers end with the program that started them, however that ends.
-LOG_LEVEL="${LOG_LEVEL:-info}" timeout -k 1 115 "$case" "$program" "$folder" "$here/record.txt"
+LOG_LEVEL="${LOG_LEVEL:-info}" timeout -k 1 80 "$case" "$program" "$folder" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
