An earlier process's heartbeat responses reach no other machine

Seen by callers: a machine starts a task that was launched on another one; the task runs twice, also where its job does not allow it.

Cause: FollowerRelay numbered relayed heartbeats from 1 in each process, and took any response with the number of a pending one for its own. A leader's response goes to a node by name, so it may arrive when the process that relayed the heartbeat has ended and the next one waits for the response to another machine's heartbeat of the same number. By way of the store the same, since LeaderRelay writes late responses with the sequence number of the node's newest batch.

Change: membership::RequestIds numbers a process's requests to other controllers from a random number on.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -32,11 +32,13 @@
                        feature_level::Support support)
     : platform_(std::move(platform)),
       operator_settings_(std::move(operator_settings)),
+      process_(std::mt19937_64(seed + 29)()),
+      request_ids_(process_),
       store_(outbox_, platform_.store.requests_per_s, platform_.store.writes_per_s,
              platform_.nodes),
       feature_levels_(outbox_, store_, platform_, support,
                       static_cast<std::uint32_t>(operator_settings_.get("level_most", {})),
-                      std::mt19937_64(seed + 29)(), *this),
+                      process_, *this),
       replica_sync_(store_),
       replication_tracker_(all_peers(platform_)),
       election_(
@@ -46,7 +48,7 @@
           *this),
       job_api_(outbox_, store_, platform_, *this, replica_sync_.replica()),
       relay_(
-          outbox_, store_, election_, platform_, feature_levels_.members(),
+          outbox_, store_, election_, platform_, feature_levels_.members(), request_ids_,
           [this](Ms now, std::uint64_t request, wire::Heartbeat heartbeat,
                  telemetry::HeartbeatRoute route) {
             if (leader_ && election_.leading())
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -8,6 +8,7 @@
 #include "cancellation/cancellation_log.hpp"
 #include "election/leader_election.hpp"
 #include "leader/leader.hpp"
+#include "membership/request_ids.hpp"
 #include "recovery/state_recovery.hpp"
 #include "relay/relay.hpp"
 
@@ -90,6 +91,8 @@
 
   settings::Platform platform_;
   settings::OperatorSettings operator_settings_;
+  const std::uint64_t process_;  // random identifier of this process
+  membership::RequestIds request_ids_;
   Outbox outbox_;
   StoreClient store_;
   FeatureLevelGate feature_levels_;
--- a/src/relay/follower_relay.cpp
+++ b/src/relay/follower_relay.cpp
@@ -21,12 +21,14 @@
 }  // namespace
 
 FollowerRelay::FollowerRelay(Outbox& outbox, StoreClient& store, const LeaderElection& election,
-                             const Platform& platform, HeartbeatRouting& routing, Retry retry)
+                             const Platform& platform, HeartbeatRouting& routing,
+                             membership::RequestIds& request_ids, Retry retry)
     : outbox_(outbox),
       store_(store),
       election_(election),
       platform_(platform),
       routing_(routing),
+      request_ids_(request_ids),
       retry_(std::move(retry)) {}
 
 // --- which heartbeats are relayed ---
@@ -73,7 +75,7 @@
 
 void FollowerRelay::send_to_leader(Ms now, std::uint64_t request, std::string_view body,
                                    Ms deadline, Route route) {
-  const auto id = next_id_++;
+  const auto id = request_ids_.next();
   pending_[id] = {request, deadline, std::string(body), route};
   outbox_.metrics().add(telemetry::Count::relayed, route);
   if (route == Route::store) {
--- a/src/relay/follower_relay.hpp
+++ b/src/relay/follower_relay.hpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "membership/request_ids.hpp"
 #include "relay/heartbeat_routing.hpp"
 #include "telemetry/metrics.hpp"
 #include "wire/batch.hpp"
@@ -26,7 +27,8 @@
       std::function<void(Ms now, std::uint64_t request, std::string_view body, Ms deadline)>;
   // All references outlive this object.
   FollowerRelay(Outbox& outbox, StoreClient& store, const LeaderElection& election,
-                const settings::Platform& platform, HeartbeatRouting& routing, Retry retry);
+                const settings::Platform& platform, HeartbeatRouting& routing,
+                membership::RequestIds& request_ids, Retry retry);
 
   // Relays a worker's heartbeat, whose unparsed text is `body`, and replies to `request` when the
   // leader has responded, or at `deadline` with a refusal. Returns false if the worker should be
@@ -77,13 +79,13 @@
   const LeaderElection& election_;
   const settings::Platform& platform_;
   HeartbeatRouting& routing_;
+  membership::RequestIds& request_ids_;
   Retry retry_;
 
   // By machine. A machine in relayed_since_ is relayed for kRelayPeriodMs before it is redirected
   // again.
   std::map<std::string, Ms> arrived_at_, relayed_since_;
   std::unordered_map<std::uint64_t, Pending> pending_;  // by id
-  std::uint64_t next_id_ = 1;
   // The leader that the pending heartbeats were sent to.
   std::string sent_to_leader_;
   std::uint64_t sent_in_term_ = 0;
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -18,9 +18,10 @@
   // All references outlive this object.
   Relay(Outbox& outbox, StoreClient& store, const LeaderElection& election,
         const settings::Platform& platform, const membership::Members& members,
-        LeaderRelay::Handler handler, FollowerRelay::Retry retry)
+        membership::RequestIds& request_ids, LeaderRelay::Handler handler,
+        FollowerRelay::Retry retry)
       : routing_(election, platform, members),
-        follower_(outbox, store, election, platform, routing_, std::move(retry)),
+        follower_(outbox, store, election, platform, routing_, request_ids, std::move(retry)),
         leader_(outbox, store, election, platform, routing_, std::move(handler)) {}
 
   Relay(const Relay&) = delete;
--- /dev/null
+++ b/tests/former_process_test.cpp
@@ -0,0 +1,279 @@
+// Responses that arrive when the process that sent the request has ended and the next process of
+// the same controller runs: they must not be taken for responses to its own requests.
+#include <gtest/gtest.h>
+
+#include "simulation_test.hpp"
+#include "simulators/store.hpp"
+#include "wire/batch.hpp"
+#include "wire/job_keys.hpp"
+#include "wire/relay_value.hpp"
+
+namespace hitchfront::testing {
+namespace {
+using core::Ms;
+using Kind = wire::PeerMessage::Kind;
+
+constexpr Ms kTickMs = 100;
+constexpr std::int64_t kWallClockMs = 1'700'000'000'000;
+
+// The store, and the clock of the machine that the controller's processes run on.
+struct Surroundings {
+  simulators::Store store;
+  Ms now = 1'000'000;
+
+  void put(const std::string& key, std::string_view value) {
+    store.handle(now, "POST", "/txn", wire::Txn().put(key, value).body(),
+                 [](const simulators::Response& r) { ASSERT_EQ(r.status, 200); });
+  }
+};
+
+// One process of node-1 beside a store. The test plays the other controllers, workers and users.
+class Process {
+ public:
+  Process(Surroundings& surroundings, std::uint64_t seed)
+      : surroundings_(surroundings), core_(platform(), seed) {
+    core_.start(surroundings_.now, kWallClockMs);
+    carry_out();
+  }
+
+  void run(Ms duration) {
+    for (const auto end = surroundings_.now + duration; surroundings_.now < end;) {
+      surroundings_.now += kTickMs;
+      surroundings_.store.tick(surroundings_.now);
+      core_.tick(surroundings_.now, kWallClockMs);
+      carry_out();
+    }
+  }
+  // Returns the number of the request, by which `replies` has its reply.
+  std::uint64_t request(core::Method method, const std::string& path, const std::string& body) {
+    const auto id = ++requests_;
+    core_.request(surroundings_.now, kWallClockMs, id, method, path, body);
+    carry_out();
+    return id;
+  }
+  std::uint64_t heartbeat(const std::string& machine) {
+    return request(core::Method::post, "/agent/beat",
+                   R"({"Addr":"127.0.0.1:1","Hall":"east","Loaners":false,"Lots":[],"Post":")" +
+                       machine + R"(","Rig":"small","Tally":1,"Tenure":1,"Warrant":1})");
+  }
+  void receive(const std::string& node, const wire::PeerMessage& message) {
+    core_.peer_message(surroundings_.now, node, wire::encode(message));
+    carry_out();
+  }
+  // The newest message of a kind to another controller.
+  wire::PeerMessage last_sent(Kind kind) const {
+    const auto it =
+        std::find_if(sent.rbegin(), sent.rend(), [&](const auto& m) { return m.kind == kind; });
+    return it == sent.rend() ? wire::PeerMessage{} : *it;
+  }
+  bool has_logged(telemetry::Event event) const { return logged.contains(event); }
+  bool leads() const { return core_.leading(); }
+
+  std::map<std::uint64_t, core::HttpReply> replies;  // by request
+  std::vector<wire::PeerMessage> sent;
+  std::set<telemetry::Event> logged;
+
+ private:
+  static settings::Platform platform() {
+    auto platform = test_platform(3, {"east"});
+    platform.node = "node-1";
+    platform.peers = {{"node-0", "east", "node-0"}, {"node-2", "east", "node-2"}};
+    return platform;
+  }
+  void carry_out() {
+    while (true) {
+      auto effects = core_.take();
+      if (effects.empty()) return;
+      for (const auto& line : effects.logs) logged.insert(line.event);
+      for (auto& reply : effects.replies) replies[reply.request] = std::move(reply);
+      for (const auto& message : effects.peer_messages)
+        if (auto decoded = wire::decode_peer(message.bytes)) sent.push_back(std::move(*decoded));
+      for (const auto& call : effects.calls) carry_out(call);
+    }
+  }
+  void carry_out(const core::HttpCall& call) {
+    if (call.target != core::Target::state) return;
+    const auto* method = call.method == core::Method::get    ? "GET"
+                         : call.method == core::Method::post ? "POST"
+                                                             : "DELETE";
+    surroundings_.store.handle(
+        surroundings_.now, method, call.path, call.body,
+        [this, id = call.id, alive = std::weak_ptr(alive_)](const simulators::Response& r) {
+          if (alive.lock()) core_.response(surroundings_.now, id, r.status, r.body);
+        });
+  }
+
+  Surroundings& surroundings_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  core::Controller core_;
+  std::uint64_t requests_ = 0;
+};
+
+constexpr const char* kLaunch =
+    R"({"Warrant":1,"Orders":[{"Verb":"launch","Lot":"run-000001/0","Try":4294967297}]})";
+
+// A process of node-1 that knows node-0 as the leader.
+std::unique_ptr<Process> follower(Surroundings& surroundings, std::uint64_t seed) {
+  if (surroundings.store.value(wire::kLeaderKey) == nullptr) {
+    surroundings.put(wire::kTermKey, "1");
+    surroundings.put(wire::kLeaderKey, wire::encode(wire::LeaderRecord{"node-0", 1}));
+  }
+  auto process = std::make_unique<Process>(surroundings, seed);
+  process->run(500);
+  return process;
+}
+
+wire::PeerMessage relay_response(std::uint64_t id) {
+  wire::PeerMessage response;
+  response.kind = Kind::relay_response;
+  response.id = id;
+  response.a = 200;
+  response.text = kLaunch;
+  return response;
+}
+
+// A machine was given the launches of another one, whose heartbeat the former process had relayed:
+// a task started in the wrong place, and again on the machine that it was meant for.
+TEST(FormerProcess, ItsHeartbeatResponsesReachNoOtherMachine) {
+  Surroundings surroundings;
+  auto former = follower(surroundings, 1);
+  former->heartbeat("n-000001");
+  const auto former_id = former->last_sent(Kind::relay_request).id;
+  former.reset();
+
+  auto process = follower(surroundings, 2);
+  const auto request = process->heartbeat("n-000002");
+  const auto id = process->last_sent(Kind::relay_request).id;
+  process->receive("node-0", relay_response(former_id));
+  EXPECT_FALSE(process->replies.contains(request));
+  process->receive("node-0", relay_response(id));
+  ASSERT_TRUE(process->replies.contains(request));
+  EXPECT_EQ(process->replies[request].body, kLaunch);
+}
+
+// The heartbeats of a relay value, with the sequence number of the batch.
+struct RelayedBatch {
+  std::uint64_t sequence = 0;
+  std::uint64_t first_id = 0;
+};
+RelayedBatch relayed_batch(const Surroundings& surroundings) {
+  const auto* stored = surroundings.store.value(wire::relay_request_key("node-1"));
+  const auto value = stored == nullptr ? std::nullopt : wire::decode_relay_value(*stored);
+  const auto heartbeats = value ? wire::decode_heartbeats(value->items) : std::nullopt;
+  if (!heartbeats || heartbeats->empty()) return {};
+  return {value->sequence, heartbeats->front().first};
+}
+
+void respond_through_store(Surroundings& surroundings, std::uint64_t sequence, std::uint64_t id) {
+  std::vector<wire::RelayedResponse> responses = {
+      {id, 200, {}, *wire::parse_heartbeat_response(kLaunch)}};
+  surroundings.put(
+      wire::relay_response_key("node-1"),
+      wire::encode(wire::RelayValue{sequence, wire::encode_responses(responses, 6000)}));
+}
+
+// The same by way of the store: a leader writes a late response with the number of the newest batch
+// of the controller, which may be that of its next process. Its machine may have been restarted as
+// well, so that the steady clock of the next process is behind.
+TEST(FormerProcess, ItsHeartbeatResponsesThroughTheStoreReachNoOtherMachine) {
+  for (const Ms clock_reset : {0, 900'000}) {
+    Surroundings surroundings;
+    auto former = follower(surroundings, 1);
+    former->run(2'000);  // the leader counts as unreachable
+    former->heartbeat("n-000001");
+    former->run(kTickMs);
+    const auto earlier = relayed_batch(surroundings);
+    former.reset();
+
+    surroundings.now -= clock_reset;
+    auto process = follower(surroundings, 2);
+    process->run(2'000);
+    const auto request = process->heartbeat("n-000002");
+    process->run(kTickMs);
+    const auto batch = relayed_batch(surroundings);
+    ASSERT_NE(earlier.first_id, 0U);
+    ASSERT_NE(batch.sequence, earlier.sequence);
+    for (const auto sequence : {earlier.sequence, batch.sequence}) {
+      respond_through_store(surroundings, sequence, earlier.first_id);
+      process->run(kTickMs);
+      EXPECT_FALSE(process->replies.contains(request)) << "clock back by " << clock_reset;
+    }
+    respond_through_store(surroundings, batch.sequence, batch.first_id);
+    process->run(kTickMs);
+    ASSERT_TRUE(process->replies.contains(request));
+    EXPECT_EQ(process->replies[request].status, 200);
+  }
+}
+
+// ---- the same in the cluster simulation
+
+constexpr std::int64_t kFirstCrashMs = 40'000;
+constexpr std::int64_t kProcessLivesMs[] = {4'000, 5'000};
+constexpr int kProcesses = 14;
+constexpr std::int64_t kQuickRestartMs = 100;
+constexpr std::int64_t kSlowResponseMs = 1'500;
+constexpr std::uint64_t kSeeds = 8;
+
+// The controller of a zone ends again and again and is back at once. The responses to every other
+// process arrive at the next one, as long after its start; that one has to wait for its own.
+Scenario late_heartbeat_responses(std::uint64_t seed, std::int64_t process_life_ms) {
+  Scenario s;
+  s.seed = seed;
+  s.scale = 2;
+  s.jobs_per_s = 1;
+  s.tasks_most = 6;
+  s.restart_ms = kQuickRestartMs;
+  for (int i = 0; i < kProcesses; ++i) {
+    const auto start = kFirstCrashMs + i * process_life_ms;
+    const auto delay_ms = i % 2 == 0 ? process_life_ms : kSlowResponseMs;
+    s.events.push_back({start, "crash node-1"});
+    s.late_peer_messages.push_back(
+        {Kind::relay_response, start, start + process_life_ms, delay_ms});
+  }
+  return s;
+}
+
+TEST(FormerProcess, LateHeartbeatResponsesBreakNoRule) {
+  for (const auto process_life_ms : kProcessLivesMs)
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      ClusterSimulation simulation(late_heartbeat_responses(seed, process_life_ms));
+      simulation.run();
+      expect_sound(simulation);
+    }
+}
+
+// A mutant: the processes of a controller draw the same numbers.
+TEST(FormerProcessChecker, CatchesAHeartbeatResponseToAnotherMachine) {
+  std::set<std::string> broken;
+  for (const auto process_life_ms : kProcessLivesMs)
+    for (std::uint64_t seed = 1; seed <= kSeeds && broken.empty(); ++seed) {
+      auto scenario = late_heartbeat_responses(seed, process_life_ms);
+      scenario.repeats_process_seeds = true;
+      ClusterSimulation simulation(scenario);
+      simulation.run();
+      broken = simulation.checker.broken;
+    }
+  EXPECT_TRUE(broken.contains("ran_twice") || broken.contains("wrong_place"));
+}
+
+// Zones apart, so that heartbeats are relayed through the store, and a controller whose machine is
+// restarted again and again.
+TEST(FormerProcess, QuickRestartsOfTheMachineBreakNoRuleWithZonesApart) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Scenario s;
+    s.seed = seed;
+    s.restart_ms = kQuickRestartMs;
+    s.restarts_steady_clocks = true;
+    for (const char* other : {"node-0", "node-2"})
+      s.cuts.push_back({kFirstCrashMs, 110'000, other, "node-1", true});
+    s.zone_cuts = {{kFirstCrashMs, 110'000, "east", "west", true}};
+    for (auto when = kFirstCrashMs + 5'000; when < 100'000; when += 3'100)
+      s.events.push_back({when, "crash node-1"});
+    ClusterSimulation simulation(s);
+    simulation.run();
+    expect_sound(simulation);
+  }
+}
+
+}  // namespace
+}  // namespace hitchfront::testing
--- a/tests/simulation/controller_cluster.cpp
+++ b/tests/simulation/controller_cluster.cpp
@@ -41,11 +41,21 @@
     controller->index = i;
     controller->name = "node-" + std::to_string(i);
     controller->clock_rate = 1 + context_.random.real(0, kMaxClockDrift);
-    controller->clock_offset = context_.random.between(kMinClockOffsetMs, kMaxClockOffsetMs);
+    reset_steady_clock(*controller);
     controllers_.push_back(std::move(controller));
   }
 }
 
+void ControllerCluster::reset_steady_clock(SimulatedController& controller) {
+  controller.clock_offset = context_.random.between(kMinClockOffsetMs, kMaxClockOffsetMs);
+}
+
+std::uint64_t ControllerCluster::process_seed(const SimulatedController& controller) {
+  const auto drawn = context_.random.bits();
+  return context_.scenario.repeats_process_seeds ? static_cast<std::uint64_t>(controller.index)
+                                                 : drawn;
+}
+
 SimulatedController* ControllerCluster::find(const std::string& name) {
   for (auto& controller : controllers_)
     if (controller->name == name) return controller.get();
@@ -110,7 +120,7 @@
     expressions =
         settings::parse_operator_settings("level_most = " + std::to_string(controller.level_limit))
             .settings;
-  controller.core = std::make_unique<core::Controller>(platform, context_.random.bits(),
+  controller.core = std::make_unique<core::Controller>(platform, process_seed(controller),
                                                        expressions, controller.support);
   controller.core->start(steady_clock(controller), wall_clock());
   flush(controller);
@@ -120,6 +130,7 @@
   controller.core.reset();
   controller.requests.clear();
   ++controller.process;
+  if (context_.scenario.restarts_steady_clocks) reset_steady_clock(controller);
   controller.restart_at = context_.now() + context_.scenario.restart_ms;
   controller.frozen_until = 0;
 }
@@ -237,16 +248,26 @@
                                      const core::OutgoingPeerMessage& message) {
   auto* to = find(message.node);
   if (to == nullptr) return;
-  network_.send(
-      controller.name, message.node,
-      [this, to, from = controller.name, bytes = message.bytes] {
-        when_awake(*to, [this, to, from, bytes] {
-          if (!to->core) return;
-          to->core->peer_message(steady_clock(*to), from, bytes);
-          flush(*to);
-        });
-      },
-      nullptr);
+  auto deliver = [this, to, from = controller.name, bytes = message.bytes] {
+    when_awake(*to, [this, to, from, bytes] {
+      if (!to->core) return;
+      to->core->peer_message(steady_clock(*to), from, bytes);
+      flush(*to);
+    });
+  };
+  if (const auto delay_ms = peer_message_delay(message.bytes))
+    return context_.events.after(*delay_ms, std::move(deliver));
+  network_.send(controller.name, message.node, std::move(deliver), nullptr);
+}
+
+std::optional<std::int64_t> ControllerCluster::peer_message_delay(const std::string& bytes) const {
+  if (context_.scenario.late_peer_messages.empty()) return std::nullopt;
+  const auto message = wire::decode_peer(bytes);
+  for (const auto& late : context_.scenario.late_peer_messages)
+    if (message && message->kind == late.kind && context_.now() >= late.from &&
+        context_.now() < late.to)
+      return late.delay_ms;
+  return std::nullopt;
 }
 
 void ControllerCluster::call(SimulatedController& controller, core::HttpCall call) {
--- a/tests/simulation/controller_cluster.hpp
+++ b/tests/simulation/controller_cluster.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -77,6 +78,8 @@
   std::int64_t steady_clock(const SimulatedController& controller) const;
   std::int64_t wall_clock() const;
   void start(SimulatedController& controller);
+  void reset_steady_clock(SimulatedController& controller);
+  std::uint64_t process_seed(const SimulatedController& controller);
   // Once the controller runs again, if it is frozen.
   void when_awake(SimulatedController& controller, Action action);
   void accept(SimulatedController& to, const std::string& from, core::Method method,
@@ -87,6 +90,8 @@
   void note_logs(SimulatedController& controller, const core::Effects& effects);
   void reply(SimulatedController& controller, const core::HttpReply& answer);
   void send_to_peer(SimulatedController& controller, const core::OutgoingPeerMessage& message);
+  // By the scenario's late messages; none: it is not late.
+  std::optional<std::int64_t> peer_message_delay(const std::string& bytes) const;
   void call(SimulatedController& controller, core::HttpCall call);
   void check_rental_name(const SimulatedController& controller, const core::HttpCall& call);
 
--- a/tests/simulation/scenario.hpp
+++ b/tests/simulation/scenario.hpp
@@ -10,6 +10,7 @@
 #include "core/effects.hpp"
 #include "feature_level/feature_level.hpp"
 #include "settings/platform.hpp"
+#include "wire/peer.hpp"
 
 namespace hitchfront::testing {
 
@@ -90,6 +91,14 @@
   double request_repeats = 0;  // share of users' and controllers' requests that are carried out
                                // twice, the second time as late as copies
 
+  // Messages of this kind that controllers send to each other in this time arrive so much later, at
+  // whichever process of the receiver runs then.
+  struct LatePeerMessages {
+    wire::PeerMessage::Kind kind;
+    std::int64_t from, to, delay_ms;
+  };
+  std::vector<LatePeerMessages> late_peer_messages;
+
   // ---- the state service
 
   // It answers up to so much later, in this time.
@@ -105,6 +114,8 @@
 
   // ---- faults
 
+  // A process that ends takes its machine with it: the steady clock of the next one begins anew.
+  bool restarts_steady_clocks = false;
   struct At {
     std::int64_t when;
     std::string what;  // see parse_fault() of fault.hpp
@@ -132,6 +143,8 @@
   // the invariant checker has to catch.
   using Mutant = std::function<void(std::int64_t now, int node, core::Effects&)>;
   Mutant mutant;
+  // Each process of a controller draws the same random numbers: a mutant.
+  bool repeats_process_seeds = false;
 };
 
 // The zone of a controller: the zones in turn.
