Abstentions given to an earlier process of a leader do not count

Seen in the simulation: two leaders answer workers at once. The older one has no lease any more and nobody abstains for it.

Cause: each process numbered its rounds of abstention requests from 1, and VoteAbstentions counts an abstention from the start of the round of its number. One that was given to the leader's former process and comes late met a round of the same number that had begun later.

Change: the rounds are numbered by membership::RequestIds, like other requests to controllers.

The tests of VoteAbstentions differ by the constructor's new argument alone.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -45,7 +45,7 @@
           outbox_, store_,
           {platform_.node, seed, all_peers(platform_), operator_settings_.get("roster", {}) != 0,
            support.announces ? &feature_levels_.level() : nullptr},
-          *this),
+          request_ids_, *this),
       job_api_(outbox_, store_, platform_, *this, replica_sync_.replica()),
       relay_(
           outbox_, store_, election_, platform_, feature_levels_.members(), request_ids_,
--- a/src/election/leader_election.cpp
+++ b/src/election/leader_election.cpp
@@ -27,13 +27,14 @@
 }  // namespace
 
 LeaderElection::LeaderElection(Outbox& outbox, StoreClient& store, ElectionConfig config,
+                               membership::RequestIds& request_ids,
                                ElectionEnvironment& environment)
     : outbox_(outbox),
       store_(store),
       environment_(environment),
       config_(std::move(config)),
       random_(config_.seed),
-      abstentions_(config_.peers) {}
+      abstentions_(config_.peers, request_ids) {}
 
 std::optional<std::uint64_t> LeaderElection::decode_term(const json& value) const {
   if (config_.feature_level == nullptr && !value.is_number_unsigned()) return std::nullopt;
--- a/src/election/leader_election.hpp
+++ b/src/election/leader_election.hpp
@@ -39,9 +39,9 @@
   using StepDownReason = election::StepDownReason;
   using VoteAbstention = election::VoteAbstention;
 
-  // `environment` must outlive the election; it is not called before start().
+  // All references outlive the election. `environment` is not called before start().
   LeaderElection(Outbox& outbox, StoreClient& store, ElectionConfig config,
-                 ElectionEnvironment& environment);
+                 membership::RequestIds& request_ids, ElectionEnvironment& environment);
 
   // Called once, when this process may start serving.
   void start(Ms now);
--- a/src/election/vote_abstentions.cpp
+++ b/src/election/vote_abstentions.cpp
@@ -29,12 +29,15 @@
 
 }  // namespace
 
-VoteAbstentions::VoteAbstentions(std::vector<std::string> voters) : voters_(std::move(voters)) {}
+VoteAbstentions::VoteAbstentions(std::vector<std::string> voters,
+                                 membership::RequestIds& request_ids)
+    : voters_(std::move(voters)), request_ids_(request_ids) {}
 
 std::uint64_t VoteAbstentions::begin_round(Ms now) {
-  rounds_[++newest_round_] = now;
+  const auto round = request_ids_.next();
+  rounds_[round] = now;
   while (rounds_.size() > kMaxTrackedRounds) rounds_.erase(rounds_.begin());
-  return newest_round_;
+  return round;
 }
 
 std::optional<VoteAbstention> VoteAbstentions::record(const std::string& node,
--- a/src/election/vote_abstentions.hpp
+++ b/src/election/vote_abstentions.hpp
@@ -13,6 +13,8 @@
 #include <string>
 #include <vector>
 
+#include "membership/request_ids.hpp"
+
 namespace hitchfront::election {
 
 using Ms = std::int64_t;  // steady time in milliseconds
@@ -26,8 +28,10 @@
 class VoteAbstentions {
  public:
   // `voters`: all other controllers. Empty if the settings do not name all of them: abstentions are
-  // then disabled, because a controller that is not named could be elected.
-  explicit VoteAbstentions(std::vector<std::string> voters);
+  // then disabled, because a controller that is not named could be elected. `request_ids` numbers
+  // the rounds, so that an abstention given to an earlier process of this node does not count; it
+  // must outlive this object.
+  VoteAbstentions(std::vector<std::string> voters, membership::RequestIds& request_ids);
   [[nodiscard]] bool enabled() const { return !voters_.empty(); }
 
   // --- abstentions received as leader ---
@@ -58,8 +62,8 @@
 
  private:
   std::vector<std::string> voters_;
+  membership::RequestIds& request_ids_;
   std::map<std::uint64_t, Ms> rounds_;     // recent rounds: number -> start
-  std::uint64_t newest_round_ = 0;         // 0: none yet
   std::map<std::string, Ms> valid_until_;  // by voter
   Ms started_at_ = 0, abstaining_until_ = 0;
 };
--- a/tests/former_process_test.cpp
+++ b/tests/former_process_test.cpp
@@ -205,6 +205,56 @@
   }
 }
 
+// ---- abstentions
+
+constexpr Ms kLongestElectionMs = 10'000;
+constexpr Ms kRoundsMs = 2'500;  // into an outage, with some rounds of abstention requests
+
+void lead(Process& process) {
+  process.run(kLongestElectionMs);
+  ASSERT_TRUE(process.leads());
+}
+
+// Runs into an outage of the store; returns the rounds in which the process asked for abstentions.
+std::set<std::uint64_t> ask_for_abstentions(Surroundings& surroundings, Process& process) {
+  surroundings.store.set_outage(surroundings.now, true);
+  process.run(kRoundsMs);
+  std::set<std::uint64_t> rounds;
+  for (const auto& message : process.sent)
+    if (message.kind == Kind::abstention_request) rounds.insert(message.id);
+  EXPECT_FALSE(rounds.empty());
+  return rounds;
+}
+
+void abstain(Process& leader, const std::set<std::uint64_t>& rounds) {
+  for (const auto round : rounds)
+    for (const char* node : {"node-0", "node-2"}) {
+      wire::PeerMessage abstention;
+      abstention.kind = Kind::abstention;
+      abstention.id = round;
+      leader.receive(node, abstention);
+    }
+}
+
+// A leader counted abstentions that the others had given to its former process from its own rounds
+// of the same numbers: it would have acted beside a leader that they elected meanwhile.
+TEST(FormerProcess, AbstentionsGivenToItDoNotCount) {
+  Surroundings surroundings;
+  auto former = std::make_unique<Process>(surroundings, 1);
+  lead(*former);
+  const auto former_rounds = ask_for_abstentions(surroundings, *former);
+  former.reset();
+  surroundings.store.set_outage(surroundings.now, false);
+
+  Process process(surroundings, 2);
+  lead(process);
+  const auto rounds = ask_for_abstentions(surroundings, process);
+  abstain(process, former_rounds);
+  EXPECT_FALSE(process.has_logged(telemetry::Event::outage_abstentions));
+  abstain(process, rounds);
+  EXPECT_TRUE(process.has_logged(telemetry::Event::outage_abstentions));
+}
+
 // ---- the same in the cluster simulation
 
 constexpr std::int64_t kFirstCrashMs = 40'000;
@@ -256,6 +306,93 @@
   EXPECT_TRUE(broken.contains("ran_twice") || broken.contains("wrong_place"));
 }
 
+constexpr std::int64_t kOutageMs = 40'000, kMendedMs = 46'500, kRefusedMs = 60'000;
+
+// A store outage of a few seconds, in which the leader ends and is back; then the store refuses the
+// leader alone, so that nobody abstains and another controller takes over. The abstentions of
+// the outage arrive now.
+Scenario late_abstentions(std::uint64_t seed) {
+  Scenario s;
+  s.seed = seed;
+  s.loss = 0;
+  s.restart_ms = kQuickRestartMs;
+  s.events = {{kOutageMs, "outage"},
+              {kMendedMs - 200, "crash leader"},
+              {kMendedMs, "mend"},
+              {kRefusedMs, "refuse leader 12000"}};
+  s.late_peer_messages = {{Kind::abstention, kOutageMs, kMendedMs, kRefusedMs - kOutageMs + 900}};
+  return s;
+}
+
+// When each term began, and when its leader last answered a worker.
+struct Terms {
+  struct Leader {
+    std::string node;
+    std::int64_t elected_at = 0, last_answer_at = 0;
+  };
+  std::map<std::uint64_t, Leader> leaders;  // by term
+
+  void note(std::int64_t now, int node, const core::Effects& effects) {
+    const auto name = "node-" + std::to_string(node);
+    for (const auto& line : effects.logs)
+      if (line.event == telemetry::Event::leader_elected)
+        leaders[std::stoull(after(telemetry::text(telemetry::entry(line)), "term="))] = {name, now};
+    for (const auto& reply : effects.replies) note_answer(now, name, reply.body);
+    for (const auto& message : effects.peer_messages)
+      if (const auto decoded = wire::decode_peer(message.bytes))
+        if (decoded->kind == Kind::relay_response) note_answer(now, name, decoded->text);
+  }
+  // Terms whose leader answered a worker after the next one had been elected.
+  std::size_t overlaps() const {
+    std::size_t count = 0;
+    for (const auto& [term, leader] : leaders) {
+      const auto next = leaders.find(term + 1);
+      if (next != leaders.end() && leader.last_answer_at > next->second.elected_at) ++count;
+    }
+    return count;
+  }
+
+ private:
+  static std::string after(const std::string& text, const std::string& mark) {
+    return text.substr(text.find(mark) + mark.size());
+  }
+  // Followers pass answers on a moment later: only the leader's own count.
+  void note_answer(std::int64_t now, const std::string& node, const std::string& body) {
+    const auto answer = wire::parse_heartbeat_response(body);
+    const auto it = answer ? leaders.find(answer->fencing_token) : leaders.end();
+    if (it != leaders.end() && it->second.node == node) it->second.last_answer_at = now;
+  }
+};
+
+std::size_t overlapping_terms(Scenario scenario) {
+  Terms terms;
+  scenario.mutant = [&terms](std::int64_t now, int node, core::Effects& effects) {
+    terms.note(now, node, effects);
+  };
+  ClusterSimulation simulation(scenario);
+  SCOPED_TRACE(simulation.description());
+  simulation.run();
+  EXPECT_GE(terms.leaders.size(), 3U);
+  if (!scenario.repeats_process_seeds) expect_sound(simulation);
+  return terms.overlaps();
+}
+
+TEST(FormerProcess, LateAbstentionsLetNoTwoLeadersAct) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
+    EXPECT_EQ(overlapping_terms(late_abstentions(seed)), 0U) << seed;
+}
+
+// A mutant, as above.
+TEST(FormerProcessChecker, CatchesAbstentionsGivenToAnEarlierProcess) {
+  std::size_t overlaps = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds && overlaps == 0; ++seed) {
+    auto scenario = late_abstentions(seed);
+    scenario.repeats_process_seeds = true;
+    overlaps = overlapping_terms(scenario);
+  }
+  EXPECT_GT(overlaps, 0U);
+}
+
 // Zones apart, so that heartbeats are relayed through the store, and a controller whose machine is
 // restarted again and again.
 TEST(FormerProcess, QuickRestartsOfTheMachineBreakNoRuleWithZonesApart) {
--- a/tests/vote_abstentions_test.cpp
+++ b/tests/vote_abstentions_test.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 TEST(VoteAbstentions, StandOnlyWhileEveryVoterAbstains) {
-  VoteAbstentions leader({"a", "b"});
+  membership::RequestIds ids(1);
+  VoteAbstentions leader({"a", "b"}, ids);
   const auto first = leader.begin_round(10'000);
   EXPECT_FALSE(leader.any_recorded());
   EXPECT_FALSE(leader.record("a", first + 1)) << "a round that never began";
@@ -31,14 +32,16 @@
 }
 
 TEST(VoteAbstentions, AreNotUsedWhereNotEveryVoterIsKnown) {
-  VoteAbstentions leader({});
+  membership::RequestIds ids(1);
+  VoteAbstentions leader({}, ids);
   EXPECT_FALSE(leader.enabled());
   EXPECT_TRUE(leader.record("a", leader.begin_round(10'000)));
   EXPECT_EQ(leader.all_abstain_until(), 0);
 }
 
 TEST(VoteAbstentions, OldRoundsDoNotCount) {
-  VoteAbstentions leader({"a"});
+  membership::RequestIds ids(1);
+  VoteAbstentions leader({"a"}, ids);
   const auto first = leader.begin_round(0);
   for (Ms now = 500; now <= 10'000; now += 500) EXPECT_GT(leader.begin_round(now), first);
   EXPECT_FALSE(leader.record("a", first));
@@ -46,7 +49,8 @@
 
 // The leader counts from its request, the voter from its answer, and their clocks drift apart.
 TEST(VoteAbstentions, BindTheVoterForLongerThanTheLeaderCounts) {
-  VoteAbstentions leader({"a"}), voter({"leader"});
+  membership::RequestIds ids(1), voters_ids(2);
+  VoteAbstentions leader({"a"}, ids), voter({"leader"}, voters_ids);
   EXPECT_EQ(voter.abstaining_until(), 0);
   const auto round = leader.begin_round(10'000);
   voter.abstain(10'000);  // at once: the worst case
@@ -58,7 +62,8 @@
 }
 
 TEST(VoteAbstentions, AProcessThatHasJustStartedIsBoundByTheOneBefore) {
-  VoteAbstentions before({"leader"}), after({"leader"});
+  membership::RequestIds ids_before(1), ids_after(2);
+  VoteAbstentions before({"leader"}, ids_before), after({"leader"}, ids_after);
   before.abstain(20'000);
   after.start(20'001);
   EXPECT_EQ(after.abstaining_until(), 0);
