The seed of a process has 64 random bits

The identifier of a process, from which its numbers of requests begin and by which cancellation logs and announcements tell processes apart, is derived from the seed. That came from one draw of std::random_device, which gives 32 bits; now from a distribution over 64. Tested by draws of both halves.

--- a/src/net/runtime.cpp
+++ b/src/net/runtime.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <csignal>
 #include <memory>
-#include <random>
 #include <utility>
 
 #include "core/controller.hpp"
@@ -16,6 +15,7 @@
 #include "net/open_files.hpp"
 #include "net/peers.hpp"
 #include "net/processor_share.hpp"
+#include "net/random_seed.hpp"
 #include "net/replay_pacing.hpp"
 #include "net/server.hpp"
 #include "net/worker_clients.hpp"
@@ -46,7 +46,7 @@
         base_(new_event_base()),
         processor_share_(platform.cores),
         replay_pacing_(operator_settings.get("replay_share", {})),
-        core_(platform, std::random_device{}(), operator_settings),
+        core_(platform, random_seed(), operator_settings),
         store_(base_.get(), platform.state_addr, kMaxStoreConnections, on_response(),
                kUrgentEventPriority),
         cloud_(base_.get(), platform.cloud_addr, kMaxCloudConnections, on_response()),
--- a/tests/former_process_test.cpp
+++ b/tests/former_process_test.cpp
@@ -2,6 +2,7 @@
 // the same controller runs: they must not be taken for responses to its own requests.
 #include <gtest/gtest.h>
 
+#include "net/random_seed.hpp"
 #include "simulation_test.hpp"
 #include "simulators/store.hpp"
 #include "wire/batch.hpp"
@@ -302,6 +303,32 @@
   EXPECT_TRUE(process.has_logged(telemetry::Event::outage_abstentions));
 }
 
+// ---- the numbers of two processes
+
+// The seed, and with it the identifier of a process, had 32 random bits.
+TEST(FormerProcess, SeedsDifferInBothHalves) {
+  constexpr int kDraws = 64;
+  std::set<std::uint32_t> upper, lower;
+  for (int i = 0; i < kDraws; ++i) {
+    const auto seed = net::random_seed();
+    upper.insert(static_cast<std::uint32_t>(seed >> 32));
+    lower.insert(static_cast<std::uint32_t>(seed));
+  }
+  EXPECT_GT(upper.size(), kDraws / 2U);
+  EXPECT_GT(lower.size(), kDraws / 2U);
+}
+
+// Numbers of versions that number from 1 in each process are never among those of this one.
+TEST(FormerProcess, NumbersAreAboveThoseOfEarlierVersions) {
+  for (const std::uint64_t process : {std::uint64_t{0}, std::uint64_t{1}, ~std::uint64_t{0}}) {
+    membership::RequestIds ids(process);
+    const auto first = ids.next();
+    EXPECT_GE(first, 1ULL << 62);
+    EXPECT_EQ(ids.next(), first + 1);
+    EXPECT_LT(first, 1ULL << 63);
+  }
+}
+
 // ---- the same in the cluster simulation
 
 constexpr std::int64_t kFirstCrashMs = 40'000;
