--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -557,7 +557,7 @@
   if (unsent_count_request_.jobs.empty()) return;
   wire::PeerMessage message;
   message.kind = wire::PeerMessage::Kind::job_counts_request;
-  message.id = next_count_request_id_++;
+  message.id = request_ids_.next();
   message.text = wire::encode_jobs(unsent_count_request_.jobs);
   outbox_.send_to_peer(election_.leader(), wire::encode(message));
   pending_count_requests_[message.id] = std::exchange(unsent_count_request_, {});
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -174,7 +174,6 @@
   std::unordered_map<std::string, WriteDemand> peer_write_demands_;  // by node
   CountRequest unsent_count_request_;  // collected during the current input
   std::unordered_map<std::uint64_t, CountRequest> pending_count_requests_;  // by message id
-  std::uint64_t next_count_request_id_ = 1;
   std::string exposition_;
   Ms exposition_built_at_ = 0;
 };
--- a/tests/former_process_test.cpp
+++ b/tests/former_process_test.cpp
@@ -205,6 +205,53 @@
   }
 }
 
+// ---- task counts
+
+void accept(Surroundings& surroundings, const std::string& id) {
+  wire::UnfinishedJob record;
+  record.job.id = id;
+  record.job.job_class = "alpha";
+  record.job.team = "red";
+  record.job.image = "img";
+  record.job.tasks = 5;
+  record.job.cpus = 1;
+  record.launch_watermark = 5;
+  surroundings.put(wire::unfinished_job_key(id), wire::encode(record));
+}
+
+wire::PeerMessage counts_response(std::uint64_t id, std::uint32_t done) {
+  wire::PeerMessage response;
+  response.kind = Kind::job_counts_response;
+  response.id = id;
+  response.text = wire::encode_counts({{true, done, 0}});
+  return response;
+}
+
+// The user of a job was told how many tasks of another one were done, by which the former process
+// had been polled.
+TEST(FormerProcess, TaskCountsRequestedByItAnswerNoPollOfAnotherJob) {
+  Surroundings surroundings;
+  for (const char* id : {"run-000001", "run-000002"}) accept(surroundings, id);
+  auto former = follower(surroundings, 1);
+  former->run(2'000);
+  former->request(core::Method::get, "/work/run-000001", "");
+  former->run(kTickMs);
+  const auto former_id = former->last_sent(Kind::job_counts_request).id;
+  ASSERT_NE(former_id, 0U);
+  former.reset();
+
+  auto process = follower(surroundings, 2);
+  process->run(2'000);
+  const auto poll = process->request(core::Method::get, "/work/run-000002", "");
+  process->run(kTickMs);
+  const auto id = process->last_sent(Kind::job_counts_request).id;
+  process->receive("node-0", counts_response(former_id, 4));
+  EXPECT_FALSE(process->replies.contains(poll));
+  process->receive("node-0", counts_response(id, 1));
+  ASSERT_TRUE(process->replies.contains(poll));
+  EXPECT_EQ(nlohmann::json::parse(process->replies[poll].body).value("done", 0), 1);
+}
+
 // ---- abstentions
 
 constexpr Ms kLongestElectionMs = 10'000;
