--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -12,8 +12,6 @@
 namespace {
 constexpr const char* kMachineTypesKey = "flavors";
 constexpr const char* kMovedMachineTypesKey = "rigs";
-// Users wait 2 s for a poll, and the counts are for display only.
-constexpr Ms kCountRequestTimeoutMs = 300;
 constexpr Ms kTypesRetryDelayMs = 1000;
 constexpr std::string_view kJobPathPrefix = "/work/";
 constexpr std::string_view kCancelSuffix = "/abort";
@@ -58,7 +56,8 @@
           [this](Ms now, std::uint64_t request, std::string_view body, Ms deadline) {
             process_heartbeat(now, request, body, deadline);
           }),
-      random_(seed + 17) {
+      random_(seed + 17),
+      task_count_requests_(outbox_, request_ids_) {
   cancellation_log_.on_added = [this](const std::string& job) {
     if (leader_) leader_->on_job_cancelled(now_, job);
   };
@@ -296,7 +295,7 @@
     next_peer_heartbeat_ = now + kPeerHeartbeatIntervalMs;
     update_write_demand(now);
     auto heartbeat = peer_heartbeat();
-    // PeerMessage::needs describes the encoding.
+    // PeerMessage::write_demand describes the encoding.
     heartbeat.write_demand =
         1 + static_cast<std::uint64_t>(std::ceil(store_.write_demand_per_s(now) * 10));
     if (election_.should_request_abstentions(now)) {
@@ -309,15 +308,7 @@
       outbox_.send_to_peer(peer.node, wire::encode(heartbeat));
     }
   }
-  for (auto pending = pending_count_requests_.begin(); pending != pending_count_requests_.end();) {
-    if (now < pending->second.deadline) {
-      ++pending;
-      continue;
-    }
-    const auto expired = std::move(pending->second);
-    pending = pending_count_requests_.erase(pending);
-    for (const auto& callback : expired.callbacks) callback(now, std::nullopt);
-  }
+  task_count_requests_.tick(now);
 }
 
 // The leader reads the machine types from the cloud and stores them. The other nodes read them from
@@ -511,7 +502,7 @@
 
 // Replies to relayed heartbeats go back through the relay, which adds effects of its own.
 Effects Controller::take() {
-  send_count_request();
+  task_count_requests_.send(election_.leader());
   auto effects = outbox_.take();
   std::erase_if(effects.replies, [this](const HttpReply& reply) {
     return relay_.leader().try_relay_response(now_, reply);
@@ -538,10 +529,7 @@
   }
   if (election_.leader().empty() || election_.leader() == platform_.node)
     return on_counts(now, std::nullopt);
-  // All polls that one read answers share one message, which take() sends.
-  unsent_count_request_.deadline = now + kCountRequestTimeoutMs;
-  unsent_count_request_.jobs.push_back(job);
-  unsent_count_request_.callbacks.push_back(std::move(on_counts));
+  task_count_requests_.add(now, job, std::move(on_counts));  // sent by take()
 }
 
 wire::PeerMessage Controller::peer_heartbeat() const {
@@ -553,16 +541,6 @@
   return heartbeat;
 }
 
-void Controller::send_count_request() {
-  if (unsent_count_request_.jobs.empty()) return;
-  wire::PeerMessage message;
-  message.kind = wire::PeerMessage::Kind::job_counts_request;
-  message.id = request_ids_.next();
-  message.text = wire::encode_jobs(unsent_count_request_.jobs);
-  outbox_.send_to_peer(election_.leader(), wire::encode(message));
-  pending_count_requests_[message.id] = std::exchange(unsent_count_request_, {});
-}
-
 // Every cancellation that any controller acknowledged to a user before `known_as_of` is known here
 // (docs/safety.md, "Every cancellation that was told"), and workers may be answered for a limited
 // time after it. There is no limit while stored data is lost: controllers that know of a data loss
@@ -638,6 +616,22 @@
   }
 }
 
+void Controller::send_task_counts(const std::string& node, const wire::PeerMessage& request) {
+  const auto jobs = wire::decode_jobs(request.text);
+  if (!leader_ || !jobs) return;
+  std::vector<wire::JobCounts> counts;
+  for (const auto& job : *jobs) {
+    const auto job_counts = leader_->task_counts(job);
+    counts.push_back(job_counts ? wire::JobCounts{true, job_counts->done, job_counts->running}
+                                : wire::JobCounts{});
+  }
+  wire::PeerMessage response;
+  response.kind = wire::PeerMessage::Kind::job_counts_response;
+  response.id = request.id;
+  response.text = wire::encode_counts(counts);
+  outbox_.send_to_peer(node, wire::encode(response));
+}
+
 void Controller::peer_message(Ms now, const std::string& node, std::string_view bytes) {
   now_ = now;
   auto message = wire::decode_peer(bytes);
@@ -668,31 +662,9 @@
   } else if (message->kind == Kind::relay_response) {
     relay_.follower().on_peer_response(*message);
   } else if (message->kind == Kind::job_counts_request) {
-    const auto ids = wire::decode_jobs(message->text);
-    if (!leader_ || !ids) return;
-    std::vector<wire::JobCounts> counts;
-    for (const auto& id : *ids) {
-      const auto job_counts = leader_->task_counts(id);
-      counts.push_back(job_counts ? wire::JobCounts{true, job_counts->done, job_counts->running}
-                                  : wire::JobCounts{});
-    }
-    wire::PeerMessage answer;
-    answer.kind = Kind::job_counts_response;
-    answer.id = message->id;
-    answer.text = wire::encode_counts(counts);
-    outbox_.send_to_peer(node, wire::encode(answer));
+    send_task_counts(node, *message);
   } else if (message->kind == Kind::job_counts_response) {
-    auto pending = pending_count_requests_.find(message->id);
-    if (pending == pending_count_requests_.end()) return;
-    const auto request = std::move(pending->second);
-    pending_count_requests_.erase(pending);
-    const auto counts = wire::decode_counts(message->text);
-    for (std::size_t i = 0; i < request.callbacks.size(); ++i) {
-      const bool known = counts && i < counts->size() && (*counts)[i].known;
-      request.callbacks[i](
-          now, known ? std::optional(TaskCounts{(*counts)[i].done, (*counts)[i].running})
-                     : std::nullopt);
-    }
+    task_count_requests_.on_response(now, *message);
   }
 }
 
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -6,6 +6,7 @@
 
 #include "api/job_api.hpp"
 #include "cancellation/cancellation_log.hpp"
+#include "core/task_count_requests.hpp"
 #include "election/leader_election.hpp"
 #include "leader/leader.hpp"
 #include "membership/request_ids.hpp"
@@ -72,6 +73,7 @@
   void process_heartbeat(Ms now, std::uint64_t request, std::string_view body, Ms deadline);
   void retry_pending_heartbeats(Ms now);
   void send_replica(const std::string& node, std::uint64_t round);
+  void send_task_counts(const std::string& node, const wire::PeerMessage& request);
   // Starts the election and fetches the machine types. Has an effect on the first call only.
   void start_serving(Ms now);
   void fetch_types(Ms now);
@@ -128,14 +130,6 @@
   Ms next_types_fetch_ = 0, next_types_store_ = 0;
   bool fetching_types_ = false, storing_types_ = false;
 
-  // A message to the leader that requests the task counts of jobs. The callbacks are in the order
-  // of the jobs.
-  struct CountRequest {
-    Ms deadline = 0;
-    std::vector<std::string> jobs;
-    std::vector<OnTaskCounts> callbacks;
-  };
-  void send_count_request();
   // ElectionEnvironment.
   void on_leadership_gained(Ms now) override;
   void on_leadership_lost(Ms now) override;
@@ -172,8 +166,7 @@
     double writes_per_s = 0;
   };
   std::unordered_map<std::string, WriteDemand> peer_write_demands_;  // by node
-  CountRequest unsent_count_request_;  // collected during the current input
-  std::unordered_map<std::uint64_t, CountRequest> pending_count_requests_;  // by message id
+  TaskCountRequests task_count_requests_;
   std::string exposition_;
   Ms exposition_built_at_ = 0;
 };
