Tests: direct commands delivered again after they were answered

The record shows that a copy of a direct launch, executed and answered 4.1 s before, reached the machine once more, after the attempt had failed and been cleared.

The cluster simulation repeats heartbeats and the requests to store and cloud, but never a command that a machine has executed. Now `command_repeats` does, and every simulation counts an attempt that starts twice as a violation (`started_again`): attempt numbers are never used twice, so no history allows it.

--- /dev/null
+++ b/tests/repeated_commands_test.cpp
@@ -0,0 +1,71 @@
+// Direct commands of which another copy reaches the machine after they were executed and answered:
+// neither what ended since then nor what was cleared may start again.
+#include <gtest/gtest.h>
+
+#include "simulation_test.hpp"
+
+namespace hitchfront::testing {
+namespace {
+
+// Delays of the copies: from a fraction of a second to well over a worker's lease.
+struct Delays {
+  std::int64_t min_ms, max_ms;
+};
+constexpr Delays kDelays[] = {{100, 1'500}, {2'000, 12'000}, {5'000, 90'000}};
+constexpr std::uint64_t kSeeds = 3;
+constexpr std::size_t kMinRepeatedLaunches = 30;  // in the runs of one variant
+
+// Heartbeats far apart, so that most launches are sent to the machine directly, and each direct
+// command is repeated.
+Scenario repeated_commands(std::uint64_t seed, Delays delays) {
+  Scenario s;
+  s.seed = seed;
+  s.heartbeat_ms = 6'000;
+  s.lease_s = 27;
+  s.jobs_per_s = 0.4;
+  s.command_repeats = 1;
+  s.duplicate_delay_min = delays.min_ms;
+  s.duplicate_delay_max = delays.max_ms;
+  s.settle_ms = 300'000;
+  return s;
+}
+
+class RepeatedCommands : public ::testing::TestWithParam<ScenarioVariant> {};
+
+TEST_P(RepeatedCommands, StartNothingAgain) {
+  std::size_t repeated_launches = 0;
+  for (const auto delays : kDelays)
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      auto s = repeated_commands(seed, delays);
+      GetParam().change(s);
+      ClusterSimulation simulation(s);
+      SCOPED_TRACE("copies up to " + std::to_string(delays.max_ms) + " ms late");
+      simulation.run();
+      expect_sound(simulation);
+      repeated_launches += simulation.repeated_launches;
+    }
+  EXPECT_GE(repeated_launches, kMinRepeatedLaunches);
+}
+
+const ScenarioVariant kRepeatedCommands[] = {
+    {"after_an_error",
+     [](Scenario& s) {
+       s.always_failing = 0.2;
+       s.events = {{20'000, "faulty"}, {40'000, "faulty"}, {60'000, "faulty"}};
+     }},
+    {"after_a_cancellation",
+     [](Scenario& s) {
+       s.cancels = 0.6;
+       s.min_run_s = 10;
+     }},
+    {"across_leaders_back_at_once",
+     [](Scenario& s) {
+       s.restart_ms = 200;
+       for (std::int64_t when = 40'000; when < 120'000; when += 9'000)
+         s.events.push_back({when, "crash leader"});
+     }},
+};
+INSTANTIATE_TEST_SUITE_P(Tests, RepeatedCommands, ::testing::ValuesIn(kRepeatedCommands), name_of);
+
+}  // namespace
+}  // namespace hitchfront::testing
--- a/tests/simulation/observations.hpp
+++ b/tests/simulation/observations.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "simulation/invariant_checker.hpp"
@@ -18,6 +19,8 @@
   std::size_t busy_returned = 0;           // machines returned with tasks on them
   std::size_t machines_most = 0;
   std::size_t direct_commands = 0, direct_launches = 0;  // requests, and launches in them
+  std::size_t repeated_launches = 0;                     // launches in copies of executed requests
+  std::unordered_set<std::uint64_t> started_attempts;
   // Tasks that started after a user was answered that their job is cancelled, by what LaunchLog
   // says of their launch. Counted where the scenario says so.
   std::size_t cancelled_starts_on_their_way = 0, cancelled_starts_launched_knowing = 0;
--- a/tests/simulation/scenario.hpp
+++ b/tests/simulation/scenario.hpp
@@ -90,6 +90,9 @@
                                // whose answers are lost
   double request_repeats = 0;  // share of users' and controllers' requests that are carried out
                                // twice, the second time as late as copies
+  // Share of commands to machines that are executed and answered and of which a copy is delivered
+  // later, with the delay of the other copies.
+  double command_repeats = 0;
 
   // Messages of this kind that controllers send to each other in this time arrive so much later, at
   // whichever process of the receiver runs then.
--- a/tests/simulation/simulated_platform.cpp
+++ b/tests/simulation/simulated_platform.cpp
@@ -124,8 +124,17 @@
   const auto now = context_.now();
   ++context_.observed.launches_by_second[now / 1000];
   context_.observed.checker.start(now, place, job, task);
-  if (hooks.started)
-    hooks.started(job, task, workers_.at(place.name)->tasks().at({job, task}).attempt);
+  const auto attempt = workers_.at(place.name)->tasks().at({job, task}).attempt;
+  check_first_start(job, task, attempt);
+  if (hooks.started) hooks.started(job, task, attempt);
+}
+
+// A store that has lost its terms may have a term, and so its attempts, used twice.
+void SimulatedPlatform::check_first_start(const std::string& job, std::uint32_t task,
+                                          std::uint64_t attempt) {
+  if (context_.observed.started_attempts.insert(attempt).second || context_.store_has_lost) return;
+  context_.observed.checker.violation(
+      "started_again", job + "/" + std::to_string(task) + " attempt " + std::to_string(attempt));
 }
 
 // The same for each attempt of a task.
@@ -292,6 +301,9 @@
     if (it == workers_.end()) return;
     if (!it->second->hung) {
       const auto response = it->second->direct(context_.now(), call.path, call.body);
+      if (response.status == 200 && call.path == "/commands")
+        network_.duplicate(context_.scenario.command_repeats,
+                           [this, machine, call] { repeat_command(machine, call); });
       return back(response.status, response.body);
     }
     if (const auto again = weak.lock())
@@ -300,4 +312,15 @@
   (*attempt)();
 }
 
+void SimulatedPlatform::repeat_command(const std::string& machine, const core::HttpCall& call) {
+  const auto it = workers_.find(machine);
+  if (it == workers_.end()) return;
+  if (it->second->hung) {
+    context_.events.after(kHungRetryMs, [this, machine, call] { repeat_command(machine, call); });
+    return;
+  }
+  context_.observed.repeated_launches += occurrences(call.body, "\"launch\"");
+  it->second->direct(context_.now(), call.path, call.body);
+}
+
 }  // namespace hitchfront::testing
