Machines refuse launches that are delivered again: command epochs

What callers saw: a task ran on two machines at once (`ran_twice`), a cancelled task could run again, a team could pass its limit.

Cause: an action on a right that had lapsed, which nothing fenced. docs/safety.md relied on "each request being carried out once". A direct launch names the token of the term and the machine's incarnation; both stay the same after the attempt has ended and been cleared. The worker then no longer knows the attempt, so a copy of the request starts it again (PROTOCOL, "Workers").

Now a term owns a block of 2^20 fencing tokens and is named by the last. The leader raises a machine's token by one, an epoch, whenever a command lets the machine forget an attempt that was launched directly, or starts another attempt of its task there: in the same message, so there is no moment in which the attempt is forgotten and the old launch accepted. A heartbeat that shows the epoch proves that nothing of earlier epochs will be executed, which also resolves a launch without an answer within a heartbeat or two: it stayed in flight for the rest of the incarnation, barred its task from the machine, and could have the machine drained. That code is gone.

AcceptanceChecker.CatchesALaunchThatIsCarriedOutTwice repeated answered launches as a mutant and expected a broken rule. Tests that read a term as the number of the election take it from election::next_term().

--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -140,7 +140,7 @@
 bool Autoscaler::is_reclaimed(Ms now, const Machine& machine) const {
   if (machine.vanished) return true;
   if (machine.termination_at == 0) return false;
-  return (machine.tasks.empty() && machine.has_no_open_statuses()) ||
+  return (machine.tasks.empty() && machine.task_statuses.empty()) ||
          now - machine.last_heartbeat_at > silence_timeout_ms(context_.platform);
 }
 
@@ -148,7 +148,7 @@
   const Ms unit = static_cast<Ms>(policies_.params().charge_unit_s * 1000);
   const Ms age = now - machine.billed_since;
   return machine.up && machine.confirmed && !machine.lost && machine.tasks.empty() &&
-         machine.has_no_open_statuses() &&
+         machine.task_statuses.empty() &&
          age >= static_cast<Ms>(kMinChargedTimeS * 1000) - kIdleReturnWindowMs &&
          unit - age % unit <= kIdleReturnWindowMs &&
          now - machine.idle_since >= idle_retention_ms(machine);
@@ -160,7 +160,7 @@
   if (!empty && !machine.failed && !reclaimed) return std::nullopt;
   if (is_stuck(now, machine)) return ReleaseReason::stuck;
   if (machine.lost && now - machine.lost_at > kLostMachineReturnDelayMs) return ReleaseReason::lost;
-  if (machine.draining && empty && machine.has_no_open_statuses()) return ReleaseReason::drained;
+  if (machine.draining && empty && machine.task_statuses.empty()) return ReleaseReason::drained;
   if (reclaimed) return ReleaseReason::reclaimed;
   if (machine.failed) return ReleaseReason::failed;
   if (machine.cordoned && empty) return ReleaseReason::faulty;
--- a/src/election/leader_election.cpp
+++ b/src/election/leader_election.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "election/fencing_token.hpp"
 #include "settings/constants.hpp"
 #include "wire/http_status.hpp"
 
@@ -365,9 +366,11 @@
   known_term_ = std::max(known_term_, term_);
   if (stored.term < known_term && !state_lost_) environment_.on_stale_term_stored(now);
   if (state_lost_)
-    return commit_term(now, {std::max(stored.term, known_term_) + 1, stored.version, false});
+    return commit_term(
+        now, {election::next_term(std::max(stored.term, known_term_)), stored.version, false});
   // Without a stored term there has been no leader, and nothing has been launched.
-  if (stored.version == 0) return commit_term(now, {1, 0, config_.allocation_log_enabled});
+  if (stored.version == 0)
+    return commit_term(now, {election::next_term(0), 0, config_.allocation_log_enabled});
   read_last_leader(now, stored);
 }
 
@@ -387,7 +390,8 @@
   // allocation log, omit the state of the log.
   const bool complete = last && last->term == stored.term &&
                         last->allocation_log == wire::AllocationLogState::complete;
-  commit_term(now, {stored.term + 1, stored.version, config_.allocation_log_enabled && complete});
+  commit_term(now, {election::next_term(stored.term), stored.version,
+                    config_.allocation_log_enabled && complete});
 }
 
 void LeaderElection::commit_term(Ms now, NextTerm next) {
--- a/src/election/leader_election.hpp
+++ b/src/election/leader_election.hpp
@@ -1,7 +1,8 @@
 // Leader election among the controllers.
 //
-// The leader holds the key `leader` of the store under a lease. The key `term` counts elections and
-// is the fencing token. LeaderElection observes the leader key, contends for it while it is vacant,
+// The leader holds the key `leader` of the store under a lease. The key `term` rises with each
+// election and is the last fencing token of the elected leader (election/fencing_token.hpp).
+// LeaderElection observes the leader key, contends for it while it is vacant,
 // and renews the lease while leading. When the store is unreachable for longer than the lease
 // lasts, the leader keeps its leadership while all other controllers abstain.
 // docs/safety.md, "One leader", has the argument.
@@ -90,7 +91,7 @@
 
   // --- terms known to other nodes ---
 
-  // Records a term named by a worker or another controller.
+  // Records a term named by another controller, or the fencing token of a worker.
   void record_known_term(std::uint64_t term) { known_term_ = std::max(known_term_, term); }
   // Records the term in a peer's message. It tells a leader that is partitioned from the store that
   // it has been replaced; otherwise the leader would refuse the abstention that its successor needs
@@ -216,7 +217,7 @@
   Ms next_read_at_ = 0;            // 0: not scheduled
   Ms next_data_loss_read_at_ = 0;  // while stored data is lost
   bool reading_ = false, watching_ = false;
-  std::uint64_t known_term_ = 0;  // the highest that any node has reported
+  std::uint64_t known_term_ = 0;  // the highest term or token that any node has reported
 
   // This node as a candidate.
   Ms next_contend_at_ = 0;  // 0: not scheduled
--- a/src/leader/heartbeat_processor.cpp
+++ b/src/leader/heartbeat_processor.cpp
@@ -5,16 +5,13 @@
 #include <utility>
 
 #include "core/timing.hpp"
+#include "election/fencing_token.hpp"
 #include "settings/constants.hpp"
 
 namespace hitchfront::core {
 using namespace settings;
 namespace {
 
-std::uint64_t term_of(std::uint64_t attempt) {
-  return attempt >> kAttemptSequenceBits;
-}
-
 PlacementStage stage_of(wire::TaskState state) {
   return state == wire::TaskState::fetching ? PlacementStage::fetching
          : state == wire::TaskState::saving ? PlacementStage::saving
@@ -35,7 +32,7 @@
   auto* machine = find_or_register(now, heartbeat);
   if (machine == nullptr) return refuse("machine type not known yet");
   if (is_retransmission(*machine, heartbeat, route))
-    return respond_to_retransmission(now, request, *machine, heartbeat);
+    return respond_to_retransmission(now, request, *machine);
   if (const char* reason = refusal_reason(*machine, heartbeat)) return refuse(reason);
 
   messenger_.refuse_deferred(*machine, "superseded");
@@ -80,8 +77,15 @@
     if (cancelled && status.state != wire::TaskState::ended)
       response.terminate({status.job, status.task, status.attempt}, 0);
   }
-  messenger_.respond(now, {request, heartbeat.machine, heartbeat.addr, heartbeat.incarnation},
-                     response);
+  const CommandEpoch epoch = is_from_current_term(heartbeat)
+                                 ? election::epoch_of(context_.term, heartbeat.fencing_token)
+                                 : 0;
+  messenger_.respond(
+      now, {request, heartbeat.machine, heartbeat.addr, heartbeat.incarnation, epoch}, response);
+}
+
+bool HeartbeatProcessor::is_from_current_term(const wire::Heartbeat& heartbeat) const {
+  return election::is_token_of(context_.term, heartbeat.fencing_token);
 }
 
 Machine* HeartbeatProcessor::find_or_register(Ms now, const wire::Heartbeat& heartbeat) {
@@ -107,11 +111,10 @@
 
 // This response renews the lease like the first one, so it has to contain the terminations again. A
 // launch in the lost response is absent from the next heartbeat.
-void HeartbeatProcessor::respond_to_retransmission(Ms now, std::uint64_t request, Machine& machine,
-                                                   const wire::Heartbeat& heartbeat) {
+void HeartbeatProcessor::respond_to_retransmission(Ms now, std::uint64_t request,
+                                                   Machine& machine) {
   const auto response = messenger_.build_response(now, machine);
-  if (messenger_.respond(now, {request, heartbeat.machine, heartbeat.addr, heartbeat.incarnation},
-                         response))
+  if (messenger_.respond(now, MachineMessenger::recipient(machine, request), response))
     machine.lease_expires_at =
         std::max(machine.lease_expires_at,
                  machine.last_heartbeat_at + max_worker_lease_ms(context_.platform));
@@ -147,7 +150,7 @@
     if (ended) tasks_.confirm_terminated(now, machine, key);
   }
   context_.log(Event::machine_restarted, machine.name, incarnation);
-  machine.in_flight.end_incarnation();
+  machine.direct_launches.end_incarnation();
   // A new incarnation soon after a response was sent means that the responses do not arrive. A
   // machine that hung or was disconnected has sent no heartbeat recently, and got no response.
   if (machine.confirmed && machine.last_response_at != 0 &&
@@ -170,18 +173,23 @@
   machine.incarnation = heartbeat.incarnation;
   machine.seq = heartbeat.seq;
   machine.last_heartbeat_at = now;
-  update_confirmation(now, machine, heartbeat.fencing_token);
+  update_confirmation(now, machine, heartbeat);
 }
 
 void HeartbeatProcessor::update_confirmation(Ms now, Machine& machine,
-                                             std::uint64_t fencing_token) {
-  const bool in_current_term = fencing_token == context_.term;
-  if (in_current_term) machine.recovered = false;
+                                             const wire::Heartbeat& heartbeat) {
+  const bool in_current_term = is_from_current_term(heartbeat);
+  if (in_current_term) {
+    const auto epoch = election::epoch_of(context_.term, heartbeat.fencing_token);
+    machine.command_epoch = std::max(machine.command_epoch, epoch);
+    machine.direct_launches.epoch_reported(epoch);
+    machine.recovered = false;
+  }
   if (in_current_term && !machine.confirmed) {
     context_.metrics().observe(telemetry::Histogram::confirmation_seconds,
                                static_cast<double>(now - reconciliation_.began_at()) / 1000);
     messenger_.command_arrived(machine);
-  } else if (fencing_token < context_.term && machine.last_response_at != 0) {
+  } else if (!in_current_term && machine.last_response_at != 0) {
     messenger_.command_missed(now, machine);
   }
   machine.confirmed = in_current_term;
@@ -238,7 +246,7 @@
   // A heartbeat sent before the worker knew of this term may be older than the launch that the
   // allocation log names: a task that it lists as ended may be an earlier attempt, and accepting
   // its end would let the task run twice.
-  const bool in_current_term = heartbeat.fencing_token == context_.term;
+  const bool in_current_term = is_from_current_term(heartbeat);
   CommandEvidence evidence;
   for (const auto& status : heartbeat.tasks) {
     auto* job = state_.jobs.find(status.job);
@@ -326,14 +334,14 @@
     if (it != machine.tasks.end()) it->second.last_listing = machine.last_listing;
     return;
   }
-  auto* placement = find_or_add_placement(now, machine, job, status, heartbeat.fencing_token);
+  auto* placement = find_or_add_placement(now, machine, job, status, heartbeat);
   if (placement == nullptr) return;
   evidence.arrived =
       evidence.arrived || (placement->stage == PlacementStage::sent &&
                            placement->command_seq != 0 && placement->attempt == status.attempt);
   placement->attempt = status.attempt;
   placement->last_listing = machine.last_listing;
-  if (heartbeat.fencing_token == context_.term) placement->incarnation = heartbeat.incarnation;
+  if (is_from_current_term(heartbeat)) placement->incarnation = heartbeat.incarnation;
   // The machine knows the attempt, so a launch that arrives late has no effect.
   PlacementLedger::set_in_flight(*placement, false);
   const auto stage = stage_of(status.state);
@@ -347,14 +355,14 @@
 // Returns null if the heartbeat is no evidence that the task is on the machine.
 Placement* HeartbeatProcessor::find_or_add_placement(Ms now, Machine& machine, JobState& job,
                                                      const wire::TaskStatus& status,
-                                                     std::uint64_t fencing_token) {
+                                                     const wire::Heartbeat& heartbeat) {
   const auto it = machine.tasks.find({job.index, status.task});
   if (it != machine.tasks.end()) return &it->second;
   // The allocation log inherited from earlier leaders names every launch of theirs that may still
   // be running. A heartbeat from before this term that lists any other attempt of theirs is out of
   // date: accepting it would block the task's placement until the machine's lease has expired.
-  if (reconciliation_.inherited_complete_log() && fencing_token < context_.term &&
-      term_of(status.attempt) < context_.term)
+  if (reconciliation_.inherited_complete_log() && !is_from_current_term(heartbeat) &&
+      !election::is_attempt_of(context_.term, status.attempt))
     return nullptr;
   // Launched by an earlier leader, or wrongly considered ended. Otherwise any heartbeat is evidence
   // that a task is present.
@@ -388,10 +396,10 @@
       continue;
     evidence.missed = evidence.missed || (placement.stage == PlacementStage::sent &&
                                           placement.command_seq != 0 && !placement.stopping);
-    // A direct launch without a response may be executed as long as the incarnation lasts, and its
-    // task counts as present until then. One of an earlier term can't be executed any more: the
-    // worker has received this term's fencing token.
-    if (!placement.in_flight || term_of(placement.attempt) < context_.term) absent.push_back(key);
+    // A direct launch without a response may be executed until the machine has received the token
+    // of a later epoch, and its task counts as present until then.
+    if (!placement.in_flight || !machine.direct_launches.contains(placement.attempt))
+      absent.push_back(key);
   }
   for (const auto& key : absent) tasks_.confirm_terminated(now, machine, key);
 }
--- a/src/leader/heartbeat_processor.hpp
+++ b/src/leader/heartbeat_processor.hpp
@@ -61,13 +61,14 @@
   Machine* find_or_register(Ms now, const wire::Heartbeat& heartbeat);
   static bool is_retransmission(const Machine& machine, const wire::Heartbeat& heartbeat,
                                 HeartbeatRoute route);
-  void respond_to_retransmission(Ms now, std::uint64_t request, Machine& machine,
-                                 const wire::Heartbeat& heartbeat);
+  void respond_to_retransmission(Ms now, std::uint64_t request, Machine& machine);
   // Why a heartbeat must be ignored and must not renew the lease; null if it is valid.
   static const char* refusal_reason(const Machine& machine, const wire::Heartbeat& heartbeat);
   void begin_incarnation(Ms now, Machine& machine, std::uint64_t incarnation);
   void update_machine(Ms now, Machine& machine, const wire::Heartbeat& heartbeat);
-  void update_confirmation(Ms now, Machine& machine, std::uint64_t fencing_token);
+  // Whether the worker had received a fencing token of this term when it sent the heartbeat.
+  bool is_from_current_term(const wire::Heartbeat& heartbeat) const;
+  void update_confirmation(Ms now, Machine& machine, const wire::Heartbeat& heartbeat);
   void process_termination_notice(Ms now, Machine& machine, double notice_s);
   void stop_for_termination(Ms now, Machine& machine, Placement& placement, double notice_s);
   void defer_or_respond(Ms now, Machine& machine, HeartbeatRoute route);
@@ -87,7 +88,8 @@
   void process_present(Ms now, Machine& machine, JobState& job, const wire::TaskStatus& status,
                        const wire::Heartbeat& heartbeat, CommandEvidence& evidence);
   Placement* find_or_add_placement(Ms now, Machine& machine, JobState& job,
-                                   const wire::TaskStatus& status, std::uint64_t fencing_token);
+                                   const wire::TaskStatus& status,
+                                   const wire::Heartbeat& heartbeat);
   void record_running(Ms now, Placement& placement);
   void process_absent(Ms now, Machine& machine, std::uint64_t seq, CommandEvidence& evidence);
 
--- a/src/leader/leader_context.hpp
+++ b/src/leader/leader_context.hpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/effects.hpp"
+#include "election/fencing_token.hpp"
 #include "election/leader_election.hpp"
 #include "feature_level/feature_level_gate.hpp"
 #include "kv/store_client.hpp"
@@ -23,7 +24,7 @@
   const settings::Platform& platform;
   const settings::OperatorSettings& operator_settings;
   LeaderEnvironment& environment;
-  const std::uint64_t term;                // the fencing token
+  const std::uint64_t term;                // its fencing tokens: election/fencing_token.hpp
   const std::uint64_t leader_key_version;  // of the key `leader`; every write is conditioned on it
   const std::int64_t wall_minus_steady_ms;
   // Guards callbacks: see while_alive().
--- a/src/leader/lease_monitor.cpp
+++ b/src/leader/lease_monitor.cpp
@@ -24,7 +24,7 @@
   machine.expired_incarnation = machine.incarnation;
   machine.confirmed = false;
   messenger_.refuse_deferred(machine, "lease over");
-  machine.in_flight.end_incarnation();
+  machine.direct_launches.end_incarnation();
   context_.log(Event::machine_lost, machine.name, machine.tasks.size());
   context_.metrics().add(telemetry::Count::leases_lost);
   context_.metrics().add(telemetry::Count::tasks_lost, static_cast<double>(machine.tasks.size()));
--- a/src/leader/machine_messenger.cpp
+++ b/src/leader/machine_messenger.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/timing.hpp"
+#include "election/fencing_token.hpp"
 #include "settings/constants.hpp"
 
 namespace hitchfront::core {
@@ -23,8 +24,9 @@
       direct_launches_enabled_(recorder.enabled() &&
                                context.operator_settings.get("direct", {}) != 0) {}
 
-bool MachineMessenger::is_from_current_term(std::uint64_t attempt) const {
-  return attempt >> kAttemptSequenceBits == context_.term;
+MachineMessenger::Recipient MachineMessenger::recipient(const Machine& machine,
+                                                        std::uint64_t request) {
+  return {request, machine.name, machine.addr, machine.incarnation, machine.command_epoch};
 }
 
 // --- responses ---
@@ -50,8 +52,7 @@
   if (response.empty() && !force) return false;
   const auto request = *machine.deferred_request;
   machine.deferred_request.reset();
-  if (!respond(now, {request, machine.name, machine.addr, machine.incarnation}, response))
-    return true;
+  if (!respond(now, recipient(machine, request), response)) return true;
   machine.last_response_at = now;
   // The worker's lease counts from when it sent this heartbeat, which was before it arrived here.
   machine.lease_expires_at = std::max(
@@ -63,7 +64,7 @@
   heartbeat::Response response(kMaxCommandsPerResponse);
   for (const auto& status : machine.task_statuses)
     respond_to_listed(now, machine, status, response);
-  if (!machine.stopping && machine.in_flight.empty()) return response;
+  if (!machine.stopping && machine.direct_launches.empty()) return response;
   for (auto& [key, placement] : machine.tasks)
     if (placement.stage != PlacementStage::assigned &&
         placement.last_listing != machine.last_listing)
@@ -77,10 +78,7 @@
   auto* job = state_.jobs.find(status.job);
   const bool known = job != nullptr && status.task < job->spec.tasks;
   if (status.state == wire::TaskState::ended) {
-    // The worker must list a completion until it is stored, unless the job is cancelled.
-    const bool may_forget = !known || status.cause != wire::Cause::done || job->cancelled ||
-                            job->completion_stored[status.task];
-    if (!machine.in_flight.contains(status.attempt) && may_forget) response.forget(attempt);
+    if (may_forget(status) && machine.fence(status.attempt)) response.forget(attempt);
     return;
   }
   if (!known || job->cancelled || job->phase[status.task] == TaskPhase::done) {
@@ -94,13 +92,29 @@
   it->second.stop_sent_at = now;
 }
 
+// The worker must list a completion until it is stored, unless the job is cancelled.
+bool MachineMessenger::may_forget(const wire::TaskStatus& status) const {
+  const auto* job = state_.jobs.find(status.job);
+  return job == nullptr || status.task >= job->spec.tasks || status.cause != wire::Cause::done ||
+         job->cancelled || job->completion_stored[status.task];
+}
+
 // A placement that the heartbeat does not list, and whose launch may still reach the machine.
 void MachineMessenger::respond_to_unlisted(Ms now, Machine& machine, Placement& placement,
                                            heartbeat::Response& response) {
   const auto& job = *placement.job;
-  const bool from_current_term = is_from_current_term(placement.attempt);
+  const bool from_current_term = election::is_attempt_of(context_.term, placement.attempt);
   const heartbeat::Attempt attempt{job.spec.id, placement.task,
                                    from_current_term ? placement.attempt : 0};
+  const bool unwanted =
+      placement.stopping || !job.active() || job.phase[placement.task] == TaskPhase::done;
+  if (from_current_term && placement.in_flight && machine.fence(placement.attempt)) {
+    // The machine executes this response's commands or none, and refuses the direct launch once it
+    // has executed them. The next heartbeat shows whether the attempt is there.
+    if (!unwanted) response.launch(attempt);
+    placement.command_seq = machine.seq;
+    return;
+  }
   if (job.cancelled) {
     // Launched by an earlier leader, or by a direct command without a response: the launch may
     // still arrive. Any other launch arrived after this heartbeat was sent, and the machine knows
@@ -112,16 +126,6 @@
     if (placement.in_flight) placement.command_seq = machine.seq;
     return;
   }
-  if (!placement.in_flight || !from_current_term || machine.direct_launch_pending ||
-      response.remaining_commands() < 2)
-    return;
-  // A direct launch without a response that the heartbeat does not list is sent again. The attempt
-  // is the same, so this has no effect if the machine has executed the launch meanwhile.
-  if (placement.stopping || !job.active() || job.phase[placement.task] == TaskPhase::done)
-    response.terminate_unlisted(now, attempt, INT64_MAX);
-  else
-    response.launch(attempt);
-  placement.command_seq = machine.seq;
 }
 
 bool MachineMessenger::respond(Ms now, const Recipient& recipient,
@@ -129,11 +133,11 @@
   const bool renews_lease = response.renews_lease(now);
   for (const auto& commands : response.direct_commands(renews_lease))
     if (!recipient.addr.empty())
-      context_.outbox.call(build_command_call(recipient.addr, recipient.incarnation, commands),
-                           ignore_response);
+      context_.outbox.call(build_command_call(recipient, commands), ignore_response);
   if (renews_lease) {
+    const auto token = election::fencing_token(context_.term, recipient.epoch);
     context_.outbox.reply(recipient.request, 200,
-                          wire::encode_heartbeat_response(context_.term, response.commands()));
+                          wire::encode_heartbeat_response(token, response.commands()));
   } else {
     context_.log(Event::machine_lease_refused, recipient.machine);
     context_.metrics().add(telemetry::Count::lease_renewals_refused);
@@ -175,26 +179,27 @@
 void MachineMessenger::launch(Ms now, Machine& machine, Placement& placement) {
   placement.stage = PlacementStage::sent;
   --machine.assigned;
-  placement.attempt = (context_.term << kAttemptSequenceBits) | next_attempt_++;
+  placement.attempt = election::attempt_number(context_.term, next_attempt_++);
   placement.command_seq = machine.seq;
   placement.incarnation = machine.incarnation;
   placement.placed_at = now;
 }
 
-HttpCall MachineMessenger::build_command_call(const std::string& addr, std::uint64_t incarnation,
+HttpCall MachineMessenger::build_command_call(const Recipient& recipient,
                                               const std::vector<wire::Command>& commands) const {
   HttpCall call;
   call.target = Target::worker;
-  call.addr = addr;
+  call.addr = recipient.addr;
   call.method = Method::post;
   call.path = "/commands";
-  call.body = wire::direct_commands_body(context_.term, incarnation, commands);
+  call.body = wire::direct_commands_body(election::fencing_token(context_.term, recipient.epoch),
+                                         recipient.incarnation, commands);
   call.timeout_ms = kWorkerCallTimeoutMs;
   return call;
 }
 
 void MachineMessenger::launch_directly(Ms now, Machine& machine) {
-  if (!direct_launches_enabled_ || machine.deferred_request || machine.direct_launch_pending ||
+  if (!direct_launches_enabled_ || machine.deferred_request || !machine.can_raise_epoch() ||
       machine.reachability.has_missed_commands() || machine.assigned == 0 || machine.addr.empty() ||
       !state_.machines.usable(now, machine) || !context_.can_act(now))
     return;
@@ -203,11 +208,11 @@
     return;
   const auto commands = dispatch_launches(now, machine, kMaxCommandsPerResponse);
   if (commands.empty()) return;
-  auto launched = mark_in_flight(machine, commands);
+  auto launched = mark_in_flight(now, machine, commands);
   machine.direct_launch_pending = true;
   context_.metrics().add(telemetry::Count::direct_launches, static_cast<double>(commands.size()));
   context_.outbox.call(
-      build_command_call(machine.addr, machine.incarnation, commands),
+      build_command_call(recipient(machine), commands),
       context_.guarded(
           [this, name = machine.name, incarnation = machine.incarnation,
            launched = std::move(launched)](Ms responded_at, int status, std::string_view body) {
@@ -216,7 +221,7 @@
 }
 
 std::vector<MachineMessenger::DirectLaunch> MachineMessenger::mark_in_flight(
-    Machine& machine, const std::vector<wire::Command>& commands) {
+    Ms now, Machine& machine, const std::vector<wire::Command>& commands) {
   std::vector<DirectLaunch> launched;
   for (auto& [key, placement] : machine.tasks) {
     const auto launches_placement = [&placement = placement](const wire::Command& command) {
@@ -226,7 +231,7 @@
         std::none_of(commands.begin(), commands.end(), launches_placement))
       continue;
     PlacementLedger::set_in_flight(placement, true);
-    machine.in_flight.add(placement.attempt, key);
+    machine.direct_launches.add(placement.attempt, {key, machine.command_epoch, now});
     launched.push_back({key, placement.attempt});
   }
   return launched;
@@ -247,19 +252,25 @@
     command_missed(now, *machine);
     return;
   }
+  resolve_direct_launches(now, *machine, launched, heartbeat ? &*heartbeat : nullptr);
+  if (machine->assigned > 0) launch_directly(now, *machine);
+}
+
+void MachineMessenger::resolve_direct_launches(Ms now, Machine& machine,
+                                               const std::vector<DirectLaunch>& launched,
+                                               const wire::Heartbeat* heartbeat) {
   for (const auto& [key, attempt] : launched) {
-    machine->in_flight.resolve(attempt);
-    const auto entry = machine->tasks.find(key);
-    if (entry == machine->tasks.end() || entry->second.attempt != attempt ||
+    if (heartbeat == nullptr) machine.direct_launches.refused(attempt);
+    const auto entry = machine.tasks.find(key);
+    if (entry == machine.tasks.end() || entry->second.attempt != attempt ||
         entry->second.stage != PlacementStage::sent)
       continue;
     PlacementLedger::set_in_flight(entry->second, false);
-    if (refused)
-      tasks_.confirm_terminated(now, *machine, key);
-    else if (heartbeat->incarnation == incarnation)
+    if (heartbeat == nullptr)
+      tasks_.confirm_terminated(now, machine, key);
+    else if (heartbeat->incarnation == machine.incarnation)
       entry->second.command_seq = heartbeat->seq;  // every later heartbeat lists the task
   }
-  if (machine->assigned > 0) launch_directly(now, *machine);
 }
 
 // --- stops ---
@@ -285,8 +296,7 @@
   }
   if (commands.empty()) return;
   // The next heartbeat shows the effect.
-  context_.outbox.call(build_command_call(machine.addr, machine.incarnation, commands),
-                       ignore_response);
+  context_.outbox.call(build_command_call(recipient(machine), commands), ignore_response);
 }
 
 // --- reachability ---
--- a/src/leader/machine_messenger.hpp
+++ b/src/leader/machine_messenger.hpp
@@ -24,12 +24,14 @@
   bool respond_if_needed(Ms now, Machine& machine, bool force);
   // Builds the response to the newest heartbeat, without new launches.
   heartbeat::Response build_response(Ms now, Machine& machine);
-  // The addressee of a response: the request to reply to, and the machine that sent it.
+  // The addressee of a response or command: the machine, and the request to reply to.
   struct Recipient {
-    std::uint64_t request = 0;
+    std::uint64_t request = 0;  // 0 for a command
     std::string machine, addr;
     std::uint64_t incarnation = 0;
+    CommandEpoch epoch = 0;
   };
+  static Recipient recipient(const Machine& machine, std::uint64_t request = 0);
   // Replies to a heartbeat; the only function that renews a worker's lease. Terminations that the
   // response has no room for are sent to the machine directly. Returns false if the heartbeat was
   // refused, because with its lease renewed a task of a cancelled job could run for too long.
@@ -44,8 +46,8 @@
   // until its task has ended.
   void stop_directly(Ms now, Machine& machine);
   // Sends recorded launches to the machine without waiting for its next heartbeat, if that is not
-  // due soon. The machine may execute them late, as long as its fencing token and incarnation are
-  // unchanged: docs/safety.md, "Direct launches", says why that is safe.
+  // due soon. The machine may execute them late and several times, as long as its fencing token and
+  // incarnation are unchanged: docs/safety.md, "Direct launches", says why that is safe.
   void launch_directly(Ms now, Machine& machine);
 
   // Record whether the machine receives responses and commands: `times` in a row had no effect, or
@@ -68,15 +70,18 @@
   std::vector<wire::Command> dispatch_launches(Ms now, Machine& machine, std::size_t max_launches);
   void launch(Ms now, Machine& machine, Placement& placement);
   // Marks the placements of direct launch commands as in flight.
-  std::vector<DirectLaunch> mark_in_flight(Machine& machine,
+  std::vector<DirectLaunch> mark_in_flight(Ms now, Machine& machine,
                                            const std::vector<wire::Command>& commands);
   void on_direct_launch_response(Ms now, const std::string& name, std::uint64_t incarnation,
                                  const std::vector<DirectLaunch>& launched, int status,
                                  std::string_view body);
-  HttpCall build_command_call(const std::string& addr, std::uint64_t incarnation,
+  // Handles the attempts of an answered direct launch. `heartbeat`: null if it was refused.
+  void resolve_direct_launches(Ms now, Machine& machine, const std::vector<DirectLaunch>& launched,
+                               const wire::Heartbeat* heartbeat);
+  HttpCall build_command_call(const Recipient& recipient,
                               const std::vector<wire::Command>& commands) const;
-  // Whether this leader launched the attempt: its number contains the term.
-  bool is_from_current_term(std::uint64_t attempt) const;
+  // Whether the worker may drop its record of an ended attempt.
+  bool may_forget(const wire::TaskStatus& status) const;
 
   LeaderContext& context_;
   LeaderState& state_;
--- a/src/machines/command_reachability.hpp
+++ b/src/machines/command_reachability.hpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "core/effects.hpp"
-#include "machines/in_flight_launches.hpp"
 #include "settings/constants.hpp"
 
 namespace hitchfront::core {
--- a/src/machines/machine.hpp
+++ b/src/machines/machine.hpp
@@ -9,7 +9,7 @@
 
 #include "core/effects.hpp"
 #include "machines/command_reachability.hpp"
-#include "machines/in_flight_launches.hpp"
+#include "machines/direct_launches.hpp"
 #include "portfolio/replay.hpp"
 #include "settings/constants.hpp"
 #include "wire/worker.hpp"
@@ -47,8 +47,8 @@
   std::uint64_t last_listing = 0;       // the last heartbeat that listed it (Machine::last_listing)
   std::uint64_t recorded_in_batch = 0;  // batch of the allocation log that contains it
   bool recorded = false;                // that batch is stored, so the task may be launched
-  // Launched by a direct command that may still be carried out: absence from a heartbeat does not
-  // prove that the task is gone.
+  // Launched by a direct command that may not have been executed yet: absence from a heartbeat does
+  // not prove that the task is gone while Machine::direct_launches contains the attempt.
   bool in_flight = false;
 
   // Seconds since it was first reported as running.
@@ -92,19 +92,35 @@
   Placements tasks;
   std::vector<wire::TaskStatus> task_statuses;  // listed by its newest heartbeat
   std::uint64_t last_listing = 0;  // that heartbeat's number among all that this leader processed
-  InFlightLaunches in_flight;      // of this incarnation
+  // The epoch of all commands to the machine from now on; it has reported this one or an earlier
+  // one.
+  CommandEpoch command_epoch = 0;
+  DirectLaunches direct_launches;
   bool direct_launch_pending = false;  // a direct launch has not been answered yet
   CommandReachability reachability;
   Ms last_response_at = 0;
   std::vector<int> images;  // probably in its cache, by catalog index; the most recent last
 
-  // True if its newest heartbeat lists nothing that still has to be dealt with. An ended attempt
-  // that stays listed only because its launch is in flight does not count.
-  bool has_no_open_statuses() const {
-    return std::all_of(
-        task_statuses.begin(), task_statuses.end(), [this](const wire::TaskStatus& status) {
-          return status.state == wire::TaskState::ended && in_flight.contains(status.attempt);
-        });
+  // Not while a direct launch waits for its answer: the machine would refuse it. Below the last
+  // epoch direct launches may be sent, so the last one fences them all.
+  bool can_raise_epoch() const {
+    return !direct_launch_pending && command_epoch < election::kLastCommandEpoch;
+  }
+  // Whether all commands from now on may be of a later epoch than the attempt's direct launch, if
+  // there was one. Begins a new epoch if that is necessary.
+  bool fence(std::uint64_t attempt) {
+    if (direct_launches.fenced_by(command_epoch, attempt)) return true;
+    if (!can_raise_epoch()) return false;
+    ++command_epoch;
+    return true;
+  }
+  // Whether another attempt of the task may be launched: see fence_task().
+  bool can_fence_task(TaskKey key) const {
+    return can_raise_epoch() || direct_launches.task_fenced_by(command_epoch, key);
+  }
+  // The same as fence() for all attempts of a task. Requires can_fence_task().
+  void fence_task(TaskKey key) {
+    if (!direct_launches.task_fenced_by(command_epoch, key)) ++command_epoch;
   }
   void record_image(int image) {
     std::erase(images, image);
--- a/src/placement/placement_scheduler.cpp
+++ b/src/placement/placement_scheduler.cpp
@@ -226,7 +226,6 @@
   auto scores = score_machines(now, job, available_machines);
   state_.placement_work += available_machines.size() + scores.size();
   const auto max_machine_tasks = max_tasks_per_machine(context_.platform);
-  Machine* blocked_machine = nullptr;
   while (!scores.empty() && remaining_tasks > 0) {
     std::pop_heap(scores.begin(), scores.end(), is_worse);
     auto& machine = *available_machines[scores.back().machine_index];
@@ -238,24 +237,18 @@
       const auto next = job.next_waiting();
       if (next < 0) return;
       const auto task = static_cast<std::uint32_t>(next);
-      // An earlier attempt of the task, launched directly, may still start in this incarnation.
-      if (machine.in_flight.contains_task({job.index, task})) {
-        blocked_machine = &machine;
-        break;
-      }
+      // An earlier attempt of the task, launched directly, may still start there.
+      if (!machine.can_fence_task({job.index, task})) break;
       assign(now, job, machine, task);
       --remaining_tasks;
       ++state_.placement_work;
     }
     if (!state_.quotas.fits_limit(job)) return;
   }
-  // No other machine fits. The blocked machine gets no further tasks and is returned once it is
-  // empty, so that another one is rented instead of it. Otherwise the task would wait beside an
-  // empty machine that counts as capacity for it.
-  if (blocked_machine != nullptr && remaining_tasks > 0) blocked_machine->draining = true;
 }
 
 void PlacementScheduler::assign(Ms now, JobState& job, Machine& machine, std::uint32_t task) {
+  machine.fence_task({job.index, task});
   Placement placement;
   placement.placed_at = now;
   placement.recorded = !recorder_.enabled();
--- a/src/placement/preemptor.cpp
+++ b/src/placement/preemptor.cpp
@@ -107,7 +107,7 @@
 bool Preemptor::is_excluded(JobState& job, const Machine& machine) const {
   if (machine.reserved_for != 0 && machine.reserved_for != job.index) return true;
   const auto next_task = static_cast<std::uint32_t>(std::max<std::int64_t>(0, job.next_waiting()));
-  return machine.in_flight.contains_task({job.index, next_task}) ||
+  return !machine.can_fence_task({job.index, next_task}) ||
          !size_of(job.spec).fits(machine.capacity) || !is_allowed_on(job, machine) ||
          machine.tasks.size() >= max_tasks_per_machine(context_.platform);
 }
--- a/src/settings/constants.hpp
+++ b/src/settings/constants.hpp
@@ -153,8 +153,12 @@
 inline constexpr double kSilenceTimeoutHeartbeats = 1.25;
 inline constexpr std::int64_t kMinSilenceTimeoutMs = 4000;
 inline constexpr std::int64_t kSilenceTimeoutMarginMs = 1500;
-// Low bits of an attempt number, which count within a term; the bits above hold the term.
+// Low bits of an attempt number, which count within a term; the bits above name the term.
 inline constexpr int kAttemptSequenceBits = 32;
+// Above the terms that versions without epochs have reached: election/fencing_token.hpp.
+inline constexpr std::uint64_t kFirstAttemptPrefix = 1U << 19;
+// Fencing tokens of a term: one for each epoch of the commands to a machine.
+inline constexpr std::uint64_t kFencingTokensPerTerm = 1U << 20;
 inline constexpr std::int64_t kStopRetryIntervalMs = 2000;
 inline constexpr std::int64_t kWorkerCallTimeoutMs = 2000;
 
--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -509,14 +509,14 @@
   EXPECT_EQ(broken, (std::set<std::string>{"neglected", "served"}));
 }
 
-// A core that clears what it launched directly before it knows what became of it, and says it
-// again.
-TEST(AcceptanceChecker, CatchesALaunchThatIsCarriedOutTwice) {
+// Every five seconds the network delivers a direct launch once more; without epochs it is executed
+// when the machine has cleared the attempt.
+std::set<std::string> broken_by_repeated_launches(bool with_epochs) {
   auto s = sparse(77);
   s.jobs_per_s = 0.5;
   std::vector<core::HttpCall> before;
-  const auto broken = broken_by(s, [&](std::int64_t now, int, core::Effects& e) {
-    std::vector<core::HttpCall> more;
+  return broken_by(s, [&, with_epochs](std::int64_t now, int, core::Effects& e) {
+    if (!with_epochs) keep_first_token(e);
     for (auto& c : e.calls)
       if (c.target == core::Target::worker && c.body.find("launch") != std::string::npos)
         before.push_back(c);
@@ -526,7 +526,14 @@
       e.calls.push_back(again);
     }
   });
-  EXPECT_FALSE(broken.empty());
+}
+
+TEST(AcceptanceChecker, CatchesALaunchThatIsCarriedOutTwice) {
+  EXPECT_FALSE(broken_by_repeated_launches(false).empty());
+}
+
+TEST(DirectLaunch, DeliveredAgainBreaksNoRule) {
+  EXPECT_EQ(broken_by_repeated_launches(true), std::set<std::string>{});
 }
 
 }  // namespace
--- a/tests/command_reachability_test.cpp
+++ b/tests/command_reachability_test.cpp
@@ -1,4 +1,4 @@
-// The leader's two books of each machine, by themselves.
+// Whether commands reach a machine, by itself.
 #include "machines/command_reachability.hpp"
 
 #include <gtest/gtest.h>
@@ -42,21 +42,5 @@
   EXPECT_TRUE(h.command_missed(3 * kUnreachableProbeIntervalMs));
 }
 
-TEST(InFlightLaunchesTest, AreKnownUntilResolvedOrTheIncarnationEnds) {
-  InFlightLaunches u;
-  u.add(7, {3, 0});
-  u.add(8, {3, 1});
-  u.add(9, {4, 0});
-  u.resolve(9);
-  EXPECT_FALSE(u.contains(9));
-  EXPECT_FALSE(u.contains_task({4, 0}));
-  u.resolve(7);
-  EXPECT_FALSE(u.contains_task({3, 0}));
-  EXPECT_TRUE(u.contains_task({3, 1}));
-  u.end_incarnation();
-  EXPECT_TRUE(u.empty());
-  EXPECT_FALSE(u.contains_task({3, 1}));
-}
-
 }  // namespace
 }  // namespace hitchfront::core
--- a/tests/former_process_test.cpp
+++ b/tests/former_process_test.cpp
@@ -2,6 +2,7 @@
 // the same controller runs: they must not be taken for responses to its own requests.
 #include <gtest/gtest.h>
 
+#include "election/fencing_token.hpp"
 #include "net/random_seed.hpp"
 #include "simulation_test.hpp"
 #include "simulators/store.hpp"
@@ -423,7 +424,7 @@
   std::size_t overlaps() const {
     std::size_t count = 0;
     for (const auto& [term, leader] : leaders) {
-      const auto next = leaders.find(term + 1);
+      const auto next = leaders.upper_bound(term);
       if (next != leaders.end() && leader.last_answer_at > next->second.elected_at) ++count;
     }
     return count;
@@ -436,8 +437,10 @@
   // Followers pass answers on a moment later: only the leader's own count.
   void note_answer(std::int64_t now, const std::string& node, const std::string& body) {
     const auto answer = wire::parse_heartbeat_response(body);
-    const auto it = answer ? leaders.find(answer->fencing_token) : leaders.end();
-    if (it != leaders.end() && it->second.node == node) it->second.last_answer_at = now;
+    const auto it = answer ? leaders.lower_bound(answer->fencing_token) : leaders.end();
+    if (it != leaders.end() && election::is_token_of(it->first, answer->fencing_token) &&
+        it->second.node == node)
+      it->second.last_answer_at = now;
   }
 };
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -17,6 +17,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "election/fencing_token.hpp"
 #include "net/open_files.hpp"
 #include "simulators/host.hpp"
 #include "simulators/process.hpp"
@@ -27,6 +28,10 @@
 namespace {
 using nlohmann::json;
 
+// The terms of the first two leaders of a store.
+const std::uint64_t kFirstTerm = election::next_term(0);
+const std::uint64_t kSecondTerm = election::next_term(kFirstTerm);
+
 int free_port() {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in a{};
@@ -284,7 +289,7 @@
     return seen["hitchfront_completions_total"] == 5;
   }));
   EXPECT_EQ(seen["hitchfront_leading"], 1);
-  EXPECT_EQ(seen["hitchfront_term"], 1);
+  EXPECT_EQ(seen["hitchfront_term"], kFirstTerm);
   EXPECT_EQ(seen["hitchfront_launches_total"], 5);
   EXPECT_EQ(seen["hitchfront_refusals_total{reason=\"malformed\"}"], 1);
   // Whoever ends between two reports was never seen running: how many are is the machine's clock's
@@ -300,7 +305,9 @@
   kill_it();
   start();
   EXPECT_TRUE(until([&] {
-    return contents(log_).find("\"leader.elected\",\"fields\":{\"term\":2}") != std::string::npos;
+    const auto elected =
+        "\"leader.elected\",\"fields\":{\"term\":" + std::to_string(kSecondTerm) + "}";
+    return contents(log_).find(elected) != std::string::npos;
   }));
   std::istringstream lines(contents(log_));
   std::size_t n = 0;
@@ -309,8 +316,10 @@
   const auto explained = file_ + ".told";
   EXPECT_EQ(run_program({"log", "explain", log_}, explained), 0);
   const auto text = contents(explained);
-  EXPECT_NE(text.find("a-0 leads in term 1"), std::string::npos) << text;
-  EXPECT_NE(text.find("a-0 leads in term 2"), std::string::npos) << text;
+  EXPECT_NE(text.find("a-0 leads in term " + std::to_string(kFirstTerm)), std::string::npos)
+      << text;
+  EXPECT_NE(text.find("a-0 leads in term " + std::to_string(kSecondTerm)), std::string::npos)
+      << text;
   EXPECT_EQ(text.find("not understood"), std::string::npos) << text;
 }
 
--- a/tests/repeated_commands_test.cpp
+++ b/tests/repeated_commands_test.cpp
@@ -64,8 +64,69 @@
        for (std::int64_t when = 40'000; when < 120'000; when += 9'000)
          s.events.push_back({when, "crash leader"});
      }},
+    {"after_it_is_done",
+     [](Scenario& s) {
+       s.services = 0;
+       s.tasks_most = 3;
+       s.jobs_per_s = 1;
+     }},
+    {"after_a_preemption",
+     [](Scenario& s) {
+       s.best_effort = 0.5;
+       s.best_effort_run_s = 25;
+       s.jobs_per_s = 0.45;
+       s.settle_ms = 450'000;
+     }},
+    {"at_a_cancellation_with_hanging_machines",
+     [](Scenario& s) {
+       s.min_run_s = 30;
+       s.scale = 2;
+       s.events = {{50'000, "cancel 5 9000"}, {80'000, "cancel 5 12000"}, {110'000, "cancel 5"}};
+     }},
+    {"on_machines_back_within_their_lease",
+     [](Scenario& s) {
+       for (std::int64_t when = 30'000; when < 140'000; when += 6'000)
+         s.events.push_back({when, when % 12'000 == 0 ? "hang briefly" : "flap 700"});
+     }},
+    {"on_machines_that_lost_their_lease",
+     [](Scenario& s) {
+       s.cuts = {{40'000, 75'000, "n-000001", "*", true},
+                 {60'000, 95'000, "n-000003", "*", false},
+                 {90'000, 125'000, "n-000005", "*", true}};
+     }},
+    {"with_answers_lost_too",
+     [](Scenario& s) {
+       s.late_commands = 0.3;
+       s.always_failing = 0.1;
+     }},
+    {"with_every_leader_killed",
+     [](Scenario& s) {
+       s.restart_ms = 5'000;
+       s.always_failing = 0.1;
+       s.events = {{50'000, "crash leader"}, {80'000, "crash all"}, {110'000, "crash leader"}};
+     }},
 };
 INSTANTIATE_TEST_SUITE_P(Tests, RepeatedCommands, ::testing::ValuesIn(kRepeatedCommands), name_of);
 
+// ---- mutant: a leader whose token for a machine never rises
+
+Scenario without_epochs(std::uint64_t seed) {
+  auto s = repeated_commands(seed, kDelays[1]);
+  kRepeatedCommands[0].change(s);
+  s.mutant = [](std::int64_t, int, core::Effects& effects) { keep_first_token(effects); };
+  return s;
+}
+
+TEST(RepeatedCommandsChecker, CatchesATokenThatDoesNotRise) {
+  std::set<std::string> broken;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ClusterSimulation simulation(without_epochs(seed));
+    simulation.run();
+    broken.insert(simulation.checker.broken.begin(), simulation.checker.broken.end());
+  }
+  EXPECT_TRUE(broken.contains("started_again"));
+  EXPECT_TRUE(broken.contains("ran_twice"));
+}
+
 }  // namespace
 }  // namespace hitchfront::testing
--- a/tests/simulation/cluster_simulation.cpp
+++ b/tests/simulation/cluster_simulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "settings/constants.hpp"
 #include "simulation/service_quality.hpp"
 #include "simulation/starvation_check.hpp"
 
@@ -181,6 +182,19 @@
   for (auto& call : effects.calls) drop(call.body);
 }
 
+void keep_first_token(core::Effects& effects) {
+  const auto keep = [](std::string& text) {
+    auto body = json::parse(text, nullptr, false);
+    if (!body.is_object() || !body.contains("Orders")) return;
+    const auto token = body.value("Warrant", std::uint64_t{0});
+    body["Warrant"] = token - (token - 1) % settings::kFencingTokensPerTerm;
+    text = body.dump();
+  };
+  for (auto& reply : effects.replies) keep(reply.body);
+  for (auto& call : effects.calls)
+    if (call.target == core::Target::worker) keep(call.body);
+}
+
 std::string report(const ClusterSimulation& simulation) {
   const auto& what = simulation.checker.what;
   std::string out;
--- a/tests/simulation/cluster_simulation.hpp
+++ b/tests/simulation/cluster_simulation.hpp
@@ -93,6 +93,10 @@
 void drop_launches(core::Effects& effects,
                    const std::function<bool(const std::string& job)>& unwanted);
 
+// Sets the fencing token of all that a controller says to machines to the first one of its term: a
+// mutant whose tokens never rise within a term.
+void keep_first_token(core::Effects& effects);
+
 // The first few violations, a line each.
 std::string report(const ClusterSimulation& simulation);
 
