An attempt that runs again is logged, counted and stopped

What callers saw: in the incident the second start of an attempt went on for 6.3 s beside the next attempt of its task. Each heartbeat listed it; the leader added it as one more placement of the task and stopped it only when the task was done elsewhere. No line of the log said so, and none said under which token and by which way the attempt had been launched.

Now an attempt of this term that was confirmed terminated on a machine and is listed there again is logged (`task.unexpected`, with its number, the token, and when its direct launch was sent and answered) and counted (`hitchfront_unexpected_tasks_total`). It is stopped at once where the task may be on another machine. `task.launched` (debug) has the token and the way of each launch; `hitchfront_command_epochs_total` counts the epochs that machines report.

With the epochs no known fault leads there; the test takes them out.

--- a/src/leader/heartbeat_processor.cpp
+++ b/src/leader/heartbeat_processor.cpp
@@ -181,6 +181,8 @@
   const bool in_current_term = is_from_current_term(heartbeat);
   if (in_current_term) {
     const auto epoch = election::epoch_of(context_.term, heartbeat.fencing_token);
+    if (epoch > machine.reported_epoch) context_.metrics().add(telemetry::Count::command_epochs);
+    machine.reported_epoch = epoch;
     machine.command_epoch = std::max(machine.command_epoch, epoch);
     machine.direct_launches.epoch_reported(epoch);
     machine.recovered = false;
@@ -366,16 +368,33 @@
     return nullptr;
   // Launched by an earlier leader, or wrongly considered ended. Otherwise any heartbeat is evidence
   // that a task is present.
+  const bool unexpected =
+      is_from_current_term(heartbeat) && election::is_attempt_of(context_.term, status.attempt);
+  const bool surplus = unexpected && job.placement_counts[status.task] > 0;
+  if (unexpected) log_unexpected(now, machine, status, heartbeat, surplus);
   Placement placement;
   placement.placed_at = now;
   placement.attempt = status.attempt;
   placement.stage = PlacementStage::sent;
-  placement.stopping = job.cancelled;
+  placement.stopping = job.cancelled || surplus;
   auto& placed = state_.placements.add_placement(machine, job, status.task, placement);
   machine.record_image(job.image);
   return &placed;
 }
 
+void HeartbeatProcessor::log_unexpected(Ms now, const Machine& machine,
+                                        const wire::TaskStatus& status,
+                                        const wire::Heartbeat& heartbeat, bool stopped) {
+  const auto seconds_since = [now](Ms then) {
+    return then == 0 ? -1.0 : static_cast<double>(now - then) / 1000;
+  };
+  const auto* launch = machine.direct_launches.find(status.attempt);
+  context_.metrics().add(telemetry::Count::unexpected_tasks);
+  context_.log(Event::task_unexpected, status.job, status.task, machine.name, status.attempt,
+               heartbeat.fencing_token, seconds_since(launch == nullptr ? 0 : launch->sent_at),
+               seconds_since(launch == nullptr ? 0 : launch->answered_at), stopped);
+}
+
 void HeartbeatProcessor::record_running(Ms now, Placement& placement) {
   auto& job = *placement.job;
   placement.running_since = now;
--- a/src/leader/heartbeat_processor.hpp
+++ b/src/leader/heartbeat_processor.hpp
@@ -90,6 +90,9 @@
   Placement* find_or_add_placement(Ms now, Machine& machine, JobState& job,
                                    const wire::TaskStatus& status,
                                    const wire::Heartbeat& heartbeat);
+  // The machine lists an attempt of this term that was confirmed terminated there.
+  void log_unexpected(Ms now, const Machine& machine, const wire::TaskStatus& status,
+                      const wire::Heartbeat& heartbeat, bool stopped);
   void record_running(Ms now, Placement& placement);
   void process_absent(Ms now, Machine& machine, std::uint64_t seq, CommandEvidence& evidence);
 
--- a/src/leader/machine_messenger.cpp
+++ b/src/leader/machine_messenger.cpp
@@ -47,7 +47,8 @@
   }
   auto response = build_response(now, machine);
   if (state_.machines.usable(now, machine) && response.renews_lease(now))
-    for (const auto& command : dispatch_launches(now, machine, response.remaining_commands()))
+    for (const auto& command :
+         dispatch_launches(now, machine, response.remaining_commands(), LaunchRoute::response))
       response.launch({command.job, command.task, command.attempt});
   if (response.empty() && !force) return false;
   const auto request = *machine.deferred_request;
@@ -150,7 +151,8 @@
 // --- launches ---
 
 std::vector<wire::Command> MachineMessenger::dispatch_launches(Ms now, Machine& machine,
-                                                               std::size_t max_launches) {
+                                                               std::size_t max_launches,
+                                                               LaunchRoute route) {
   std::vector<wire::Command> commands;
   if (machine.assigned == 0) return commands;
   // Capacity that launched tasks leave, those being stopped included: an assignment may have to
@@ -172,6 +174,9 @@
     commands.push_back(
         {wire::Command::Op::start, placement.job->spec.id, placement.task, placement.attempt, 0});
     context_.metrics().add(telemetry::Count::launches);
+    context_.log(Event::task_launched, placement.job->spec.id, placement.task, machine.name,
+                 placement.attempt, election::fencing_token(context_.term, machine.command_epoch),
+                 route == LaunchRoute::direct ? "direct" : "response");
   }
   return commands;
 }
@@ -206,7 +211,8 @@
   if (machine.last_heartbeat_at + heartbeat_interval_ms(context_.platform) - now <
       kMinWaitForDirectLaunchMs)
     return;
-  const auto commands = dispatch_launches(now, machine, kMaxCommandsPerResponse);
+  const auto commands =
+      dispatch_launches(now, machine, kMaxCommandsPerResponse, LaunchRoute::direct);
   if (commands.empty()) return;
   auto launched = mark_in_flight(now, machine, commands);
   machine.direct_launch_pending = true;
@@ -231,7 +237,7 @@
         std::none_of(commands.begin(), commands.end(), launches_placement))
       continue;
     PlacementLedger::set_in_flight(placement, true);
-    machine.direct_launches.add(placement.attempt, {key, machine.command_epoch, now});
+    machine.direct_launches.add(placement.attempt, {key, machine.command_epoch, now, 0});
     launched.push_back({key, placement.attempt});
   }
   return launched;
@@ -260,7 +266,10 @@
                                                const std::vector<DirectLaunch>& launched,
                                                const wire::Heartbeat* heartbeat) {
   for (const auto& [key, attempt] : launched) {
-    if (heartbeat == nullptr) machine.direct_launches.refused(attempt);
+    if (heartbeat == nullptr)
+      machine.direct_launches.refused(attempt);
+    else
+      machine.direct_launches.answered(now, attempt);
     const auto entry = machine.tasks.find(key);
     if (entry == machine.tasks.end() || entry->second.attempt != attempt ||
         entry->second.stage != PlacementStage::sent)
--- a/src/leader/machine_messenger.hpp
+++ b/src/leader/machine_messenger.hpp
@@ -66,8 +66,11 @@
                          heartbeat::Response& response);
   void respond_to_unlisted(Ms now, Machine& machine, Placement& placement,
                            heartbeat::Response& response);
+  // How launch commands are sent: in the response to a heartbeat, or to the machine directly.
+  enum class LaunchRoute : std::uint8_t { response, direct };
   // Marks the assignments that may be launched now as sent, and returns their launch commands.
-  std::vector<wire::Command> dispatch_launches(Ms now, Machine& machine, std::size_t max_launches);
+  std::vector<wire::Command> dispatch_launches(Ms now, Machine& machine, std::size_t max_launches,
+                                               LaunchRoute route);
   void launch(Ms now, Machine& machine, Placement& placement);
   // Marks the placements of direct launch commands as in flight.
   std::vector<DirectLaunch> mark_in_flight(Ms now, Machine& machine,
--- a/src/machines/direct_launches.hpp
+++ b/src/machines/direct_launches.hpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <utility>
+#include <vector>
 
 #include "core/effects.hpp"
 #include "election/fencing_token.hpp"
@@ -34,17 +36,29 @@
     TaskKey key;
     CommandEpoch epoch = 0;
     Ms sent_at = 0;
+    Ms answered_at = 0;  // 0: not answered
   };
 
   void add(std::uint64_t attempt, const Launch& launch) { launches_.emplace(attempt, launch); }
+  void answered(Ms now, std::uint64_t attempt) {
+    if (const auto it = launches_.find(attempt); it != launches_.end())
+      it->second.answered_at = now;
+  }
   // The machine refused the launch, as it will refuse every copy of it.
   void refused(std::uint64_t attempt) { launches_.erase(attempt); }
   // The machine has reported a token of this epoch.
   void epoch_reported(CommandEpoch epoch) {
-    std::erase_if(launches_, [epoch](const auto& entry) { return entry.second.epoch < epoch; });
+    std::erase_if(launches_, [this, epoch](const auto& entry) {
+      const bool fenced = entry.second.epoch < epoch;
+      if (fenced) remember(entry.first, entry.second);
+      return fenced;
+    });
   }
   // Launches of an earlier incarnation are not executed in a later one.
-  void end_incarnation() { launches_.clear(); }
+  void end_incarnation() {
+    launches_.clear();
+    fenced_.clear();
+  }
 
   bool empty() const { return launches_.empty(); }
   // Whether the machine may still execute the attempt's launch, or a copy of it.
@@ -61,9 +75,24 @@
       return entry.second.key == key && entry.second.epoch >= epoch;
     });
   }
+  // The attempt's launch, if it is one of these or of the last ones before; null otherwise.
+  const Launch* find(std::uint64_t attempt) const {
+    if (const auto it = launches_.find(attempt); it != launches_.end()) return &it->second;
+    for (const auto& [fenced_attempt, launch] : fenced_)
+      if (fenced_attempt == attempt) return &launch;
+    return nullptr;
+  }
 
  private:
-  std::map<std::uint64_t, Launch> launches_;  // by attempt
+  static constexpr std::size_t kMaxRemembered = 4;  // for the log
+
+  void remember(std::uint64_t attempt, const Launch& launch) {
+    if (fenced_.size() == kMaxRemembered) fenced_.erase(fenced_.begin());
+    fenced_.emplace_back(attempt, launch);
+  }
+
+  std::map<std::uint64_t, Launch> launches_;              // by attempt
+  std::vector<std::pair<std::uint64_t, Launch>> fenced_;  // the last ones, the newest last
 };
 
 }  // namespace hitchfront::core
--- a/src/machines/machine.hpp
+++ b/src/machines/machine.hpp
@@ -95,6 +95,7 @@
   // The epoch of all commands to the machine from now on; it has reported this one or an earlier
   // one.
   CommandEpoch command_epoch = 0;
+  CommandEpoch reported_epoch = 0;  // by its newest heartbeat of this term
   DirectLaunches direct_launches;
   bool direct_launch_pending = false;  // a direct launch has not been answered yet
   CommandReachability reachability;
--- a/src/telemetry/event_tables.hpp
+++ b/src/telemetry/event_tables.hpp
@@ -23,6 +23,9 @@
 constexpr FieldSpec number(const char* name) {
   return {name, Kind::number, Aggregation::none};
 }
+constexpr FieldSpec boolean(const char* name) {
+  return {name, Kind::boolean, Aggregation::none};
+}
 // Fields that summaries include, by aggregation.
 constexpr FieldSpec listed(const char* name) {
   return {name, Kind::text, Aggregation::listed};
--- a/src/telemetry/events.hpp
+++ b/src/telemetry/events.hpp
@@ -85,7 +85,9 @@
   capacity_freed,
   relay_passing,
   request_refused,
+  task_launched,
   task_ended,
+  task_unexpected,
   log_unwritten,
 };
 inline constexpr std::size_t kEvents = static_cast<std::size_t>(Event::log_unwritten) + 1;
--- a/src/telemetry/events_jobs.cpp
+++ b/src/telemetry/events_jobs.cpp
@@ -25,9 +25,21 @@
                "cancelled, and all its tasks are confirmed terminated"),
     aggregated(Event::job_done, "job.done", {listed("job")},
                "all its tasks are done, and that is stored"),
+    single(
+        Event::task_launched, Level::debug, "task.launched",
+        {text("job"), integer("task"), text("machine"), integer("attempt"), integer("token"),
+         text("route")},
+        "a launch command was sent with this fencing token: in the `response` to a heartbeat, or "
+        "`direct`"),
     single(Event::task_ended, Level::debug, "task.ended",
            {text("job"), integer("task"), text("machine"), text("cause"), number("ran_s")},
            "a task that did not complete"),
+    single(Event::task_unexpected, Level::info, "task.unexpected",
+           {text("job"), integer("task"), text("machine"), integer("attempt"), integer("token"),
+            number("sent_s_ago"), number("answered_s_ago"), boolean("stopped")},
+           "a machine lists an attempt of this term that was confirmed terminated there: a launch "
+           "was executed again. Since when its direct launch was sent and answered (-1: not "
+           "known); stopped if the task may be on another machine"),
 };
 
 }  // namespace
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -22,6 +22,8 @@
   store_writes,  // by what
   launches,
   direct_launches,
+  command_epochs,
+  unexpected_tasks,
   completions,
   failures,
   stops,  // by why
--- a/tests/repeated_commands_test.cpp
+++ b/tests/repeated_commands_test.cpp
@@ -128,5 +128,21 @@
   EXPECT_TRUE(broken.contains("ran_twice"));
 }
 
+// A task went on beside its next attempt for 6 s, and no line of the log said so.
+TEST(RepeatedCommandsChecker, AnAttemptThatStartsAgainIsLoggedAndStopped) {
+  std::size_t logged = 0, stopped = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ClusterSimulation simulation(without_epochs(seed));
+    simulation.run();
+    for (const auto& line : simulation.log) {
+      if (line.find(" task.unexpected ") == std::string::npos) continue;
+      ++logged;
+      if (line.find("stopped=true") != std::string::npos) ++stopped;
+    }
+  }
+  EXPECT_GT(logged, 0U);
+  EXPECT_GT(stopped, 0U);
+}
+
 }  // namespace
 }  // namespace hitchfront::testing
