The simulation, the soak and the scale run repeat requests that were carried out

The scale run's workers take each executed command once more (`--repeat-commands-s`).

Read: each caller of the store's, the cloud's and the machines' calls, and PeerMessage's kinds. No other request was found that harms when it is carried out again.

The scale run's option was built, not run.

--- a/scale/options.cpp
+++ b/scale/options.cpp
@@ -162,6 +162,10 @@
       ->capture_default_str();
   app.add_flag("!--no-commands", o.commands,
                "Workers give no address for direct commands: a file less for each");
+  app.add_option("--repeat-commands-s", o.repeat_commands_s,
+                 "Seconds after which each executed direct command is delivered again; 0: never")
+      ->check(CLI::Range(0.0, 600.0))
+      ->capture_default_str();
   app.add_flag("!--no-failures", o.failures, "Break nothing");
   app.add_option("--port", o.port, "First port to use on addresses of 127.0.0.0/8")
       ->check(CLI::Range(1024, 60'000))
--- a/scale/options.hpp
+++ b/scale/options.hpp
@@ -25,7 +25,8 @@
   int region_delay_ms = 20;  // one way, between the machines of a region and the controllers
   double cores = 0.9;        // told to each controller
   double store_requests = 2000, store_writes = 200;
-  bool commands = true;  // a worker listens for direct commands, which takes a socket more
+  bool commands = true;          // a worker listens for direct commands, which takes a socket more
+  double repeat_commands_s = 0;  // after which each executed command is delivered again; 0: never
   bool failures =
       true;  // a zone cut for longer than a lease, the leader killed, a controller replaced
   int port = 20'000;
--- a/scale/run.cpp
+++ b/scale/run.cpp
@@ -58,6 +58,7 @@
   host.own_sockets = true;
   host.commands = options_.commands;
   host.command_port = options_.port;
+  host.repeat_commands_ms = to_ms(options_.repeat_commands_s);
   host.machines = options_.workers / static_cast<int>(deployment_.zones.size()) + 1;
   const std::vector<wire::MachineType> types = {
       {kMachineType, kWorkerCpus, 0, 4.0 * kWorkerCpus, 50, 10, 0.4, 0.2, 1, deployment_.zones}};
--- a/simulators/host.cpp
+++ b/simulators/host.cpp
@@ -221,6 +221,16 @@
     ++traffic_.commands;
     traffic_.command_bytes += body.size() + r.body.size();
     w->second.server->reply({request, r.status, r.body});
+    if (r.status == 200) repeat_command(name, path, body);
+  });
+}
+
+void Host::repeat_command(const std::string& machine, const std::string& path,
+                          const std::string& body) {
+  if (options_.repeat_commands_ms <= 0) return;
+  later(options_.repeat_commands_ms, [this, machine, path, body] {
+    if (const auto w = workers_.find(machine); w != workers_.end())
+      w->second.worker->direct(steady_ms(), path, body);
   });
 }
 
--- a/simulators/host.hpp
+++ b/simulators/host.hpp
@@ -25,6 +25,9 @@
   // no command reaches them directly.
   bool own_sockets = false;
   bool commands = true;  // false: machines give no address, and nothing listens for commands
+  // After which each direct command that was executed is delivered to its machine once more;
+  // 0: never.
+  std::int64_t repeat_commands_ms = 0;
   std::string command_network = "127.1";  // first half of the machines' addresses
   int command_port = 9000;
 };
@@ -80,6 +83,8 @@
   void answered(std::uint64_t call, int status, const std::string& body);
   void command(const std::string& machine, std::uint64_t request, const char* path,
                const std::string& body);
+  // Delivers a direct command once more; nobody waits for the answer.
+  void repeat_command(const std::string& machine, const std::string& path, const std::string& body);
   net::Client& client(Machine& machine, const std::string& node);
   void later(std::int64_t ms, std::function<void()> what);
   bool is_cut(const Machine& machine) const { return cut_.contains(machine.worker->place().zone); }
--- a/tests/simulation/controller_cluster.cpp
+++ b/tests/simulation/controller_cluster.cpp
@@ -255,6 +255,7 @@
       flush(*to);
     });
   };
+  network_.duplicate(context_.scenario.peer_message_repeats, deliver);
   if (const auto delay_ms = peer_message_delay(message.bytes))
     return context_.events.after(*delay_ms, std::move(deliver));
   network_.send(controller.name, message.node, std::move(deliver), nullptr);
--- a/tests/simulation/overlapping_faults_scenario.cpp
+++ b/tests/simulation/overlapping_faults_scenario.cpp
@@ -25,6 +25,7 @@
     if (number(0, 1) == 0) s_.chains = tenths(2, 8);
     if (number(0, 1) == 0) s_.limits_fall_at = number(1'000, s_.run_ms);
     for (const auto moment : {first, second}) draw_late_peer_messages(moment);
+    draw_repeats();
     return s_;
   }
 
@@ -153,6 +154,15 @@
     if (number(0, 1) == 0) s_.late_peer_messages.push_back({kind, from, to, delay_ms});
   }
 
+  // Requests that were carried out and answered are carried out again.
+  void draw_repeats() {
+    if (number(0, 1) == 0) return;
+    s_.duplicate_delay_min = number(100, 3'000);
+    s_.command_repeats = tenths(1, 10);
+    if (number(0, 1) == 0) s_.request_repeats = 0.05 * static_cast<double>(number(1, 4));
+    if (number(0, 1) == 0) s_.peer_message_repeats = 0.05 * static_cast<double>(number(1, 4));
+  }
+
   // ---- the state service
 
   void store_outage(const Draw& d) {
--- a/tests/simulation/random_scenario.cpp
+++ b/tests/simulation/random_scenario.cpp
@@ -26,6 +26,7 @@
     draw_flaps();
     draw_chains();
     if (number(0, 1) == 0) s_.limits_fall_at = number(1'000, s_.run_ms);
+    draw_repeats();
     return s_;
   }
 
@@ -184,6 +185,13 @@
     if (number(0, 1) == 0) s_.chains = tenths(2, s_.versions.empty() ? 8 : 3);
   }
 
+  void draw_repeats() {
+    if (number(0, 1) == 0) return;
+    s_.duplicate_delay_min = number(100, 3'000);
+    s_.command_repeats = tenths(1, 10);
+    if (number(0, 1) == 0) s_.peer_message_repeats = 0.05 * static_cast<double>(number(1, 4));
+  }
+
   SeededRandom random_;
   Scenario s_;
 };
--- a/tests/simulation/scenario.hpp
+++ b/tests/simulation/scenario.hpp
@@ -93,6 +93,8 @@
   // Share of commands to machines that are executed and answered and of which a copy is delivered
   // later, with the delay of the other copies.
   double command_repeats = 0;
+  // The same share of messages between controllers; a copy may reach the receiver's next process.
+  double peer_message_repeats = 0;
 
   // Messages of this kind that controllers send to each other in this time arrive so much later, at
   // whichever process of the receiver runs then.
