Leader: one place raises a machine's epoch, ended attempts look their job up once

Behaviour is the same: * Machine::fence() and fence_task() raised the epoch in their own ways, one with a hidden precondition; both go through raise_epoch(). * may_forget() looked up the job that its caller had just found, for each ended attempt of each heartbeat: the condition stands in its caller again. * respond_before_loading() took the epoch from the heartbeat; it can only be 0 there, since epochs are raised after loading, which happens once in a term. * respond_to_unlisted() ends without a nested block; LeaderContext includes one header less.

--- a/src/leader/heartbeat_processor.cpp
+++ b/src/leader/heartbeat_processor.cpp
@@ -77,11 +77,9 @@
     if (cancelled && status.state != wire::TaskState::ended)
       response.terminate({status.job, status.task, status.attempt}, 0);
   }
-  const CommandEpoch epoch = is_from_current_term(heartbeat)
-                                 ? election::epoch_of(context_.term, heartbeat.fencing_token)
-                                 : 0;
-  messenger_.respond(
-      now, {request, heartbeat.machine, heartbeat.addr, heartbeat.incarnation, epoch}, response);
+  // No machine has an epoch above 0 yet.
+  messenger_.respond(now, {request, heartbeat.machine, heartbeat.addr, heartbeat.incarnation, 0},
+                     response);
 }
 
 bool HeartbeatProcessor::is_from_current_term(const wire::Heartbeat& heartbeat) const {
--- a/src/leader/leader_context.hpp
+++ b/src/leader/leader_context.hpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "core/effects.hpp"
-#include "election/fencing_token.hpp"
 #include "election/leader_election.hpp"
 #include "feature_level/feature_level_gate.hpp"
 #include "kv/store_client.hpp"
--- a/src/leader/machine_messenger.cpp
+++ b/src/leader/machine_messenger.cpp
@@ -79,7 +79,10 @@
   auto* job = state_.jobs.find(status.job);
   const bool known = job != nullptr && status.task < job->spec.tasks;
   if (status.state == wire::TaskState::ended) {
-    if (may_forget(status) && machine.fence(status.attempt)) response.forget(attempt);
+    // The worker must list a completion until it is stored, unless the job is cancelled.
+    const bool may_forget = !known || status.cause != wire::Cause::done || job->cancelled ||
+                            job->completion_stored[status.task];
+    if (may_forget && machine.fence(status.attempt)) response.forget(attempt);
     return;
   }
   if (!known || job->cancelled || job->phase[status.task] == TaskPhase::done) {
@@ -93,13 +96,6 @@
   it->second.stop_sent_at = now;
 }
 
-// The worker must list a completion until it is stored, unless the job is cancelled.
-bool MachineMessenger::may_forget(const wire::TaskStatus& status) const {
-  const auto* job = state_.jobs.find(status.job);
-  return job == nullptr || status.task >= job->spec.tasks || status.cause != wire::Cause::done ||
-         job->cancelled || job->completion_stored[status.task];
-}
-
 // A placement that the heartbeat does not list, and whose launch may still reach the machine.
 void MachineMessenger::respond_to_unlisted(Ms now, Machine& machine, Placement& placement,
                                            heartbeat::Response& response) {
@@ -107,26 +103,22 @@
   const bool from_current_term = election::is_attempt_of(context_.term, placement.attempt);
   const heartbeat::Attempt attempt{job.spec.id, placement.task,
                                    from_current_term ? placement.attempt : 0};
-  const bool unwanted =
-      placement.stopping || !job.active() || job.phase[placement.task] == TaskPhase::done;
   if (from_current_term && placement.in_flight && machine.fence(placement.attempt)) {
     // The machine executes this response's commands or none, and refuses the direct launch once it
     // has executed them. The next heartbeat shows whether the attempt is there.
-    if (!unwanted) response.launch(attempt);
+    if (!placement.stopping && job.active() && job.phase[placement.task] != TaskPhase::done)
+      response.launch(attempt);
     placement.command_seq = machine.seq;
     return;
   }
-  if (job.cancelled) {
-    // Launched by an earlier leader, or by a direct command without a response: the launch may
-    // still arrive. Any other launch arrived after this heartbeat was sent, and the machine knows
-    // it.
-    if (!from_current_term || placement.in_flight)
-      response.terminate_unlisted(now, attempt, job.renew_until);
-    else
-      response.terminate(attempt, job.renew_until);
-    if (placement.in_flight) placement.command_seq = machine.seq;
-    return;
-  }
+  if (!job.cancelled) return;
+  // Launched by an earlier leader, or by a direct command without a response: the launch may still
+  // arrive. Any other launch arrived after this heartbeat was sent, and the machine knows it.
+  if (!from_current_term || placement.in_flight)
+    response.terminate_unlisted(now, attempt, job.renew_until);
+  else
+    response.terminate(attempt, job.renew_until);
+  if (placement.in_flight) placement.command_seq = machine.seq;
 }
 
 bool MachineMessenger::respond(Ms now, const Recipient& recipient,
--- a/src/leader/machine_messenger.hpp
+++ b/src/leader/machine_messenger.hpp
@@ -83,8 +83,6 @@
                                const wire::Heartbeat* heartbeat);
   HttpCall build_command_call(const Recipient& recipient,
                               const std::vector<wire::Command>& commands) const;
-  // Whether the worker may drop its record of an ended attempt.
-  bool may_forget(const wire::TaskStatus& status) const;
 
   LeaderContext& context_;
   LeaderState& state_;
--- a/src/machines/machine.hpp
+++ b/src/machines/machine.hpp
@@ -110,18 +110,20 @@
   // Whether all commands from now on may be of a later epoch than the attempt's direct launch, if
   // there was one. Begins a new epoch if that is necessary.
   bool fence(std::uint64_t attempt) {
-    if (direct_launches.fenced_by(command_epoch, attempt)) return true;
-    if (!can_raise_epoch()) return false;
-    ++command_epoch;
-    return true;
+    return direct_launches.fenced_by(command_epoch, attempt) || raise_epoch();
+  }
+  // The same for all attempts of a task: then another one may be launched.
+  bool fence_task(TaskKey key) {
+    return direct_launches.task_fenced_by(command_epoch, key) || raise_epoch();
   }
-  // Whether another attempt of the task may be launched: see fence_task().
+  // What fence_task() would return.
   bool can_fence_task(TaskKey key) const {
-    return can_raise_epoch() || direct_launches.task_fenced_by(command_epoch, key);
+    return direct_launches.task_fenced_by(command_epoch, key) || can_raise_epoch();
   }
-  // The same as fence() for all attempts of a task. Requires can_fence_task().
-  void fence_task(TaskKey key) {
-    if (!direct_launches.task_fenced_by(command_epoch, key)) ++command_epoch;
+  bool raise_epoch() {
+    if (!can_raise_epoch()) return false;
+    ++command_epoch;
+    return true;
   }
   void record_image(int image) {
     std::erase(images, image);
--- a/src/placement/placement_scheduler.hpp
+++ b/src/placement/placement_scheduler.hpp
@@ -31,7 +31,8 @@
   // Responses to heartbeats that are deferred meanwhile are sent if the pass has placed tasks on
   // their machines.
   void schedule(Ms now);
-  // Assigns a waiting task to a machine. It is launched once the assignment is recorded.
+  // Assigns a waiting task to a machine, which must be able to fence it (Machine::can_fence_task).
+  // It is launched once the assignment is recorded.
   void assign(Ms now, JobState& job, Machine& machine, std::uint32_t task);
 
  private:
