Simulation: one delivery of commands to machines, one walk over their bodies

repeat_command() had a second copy of how a hanging machine takes a command up later; first and repeated deliveries share deliver_command(), which needs no function that holds itself. keep_first_token() and drop_launches() walked the bodies in the same way: change_commands().

--- a/tests/simulation/cluster_simulation.cpp
+++ b/tests/simulation/cluster_simulation.cpp
@@ -164,11 +164,25 @@
   return surroundings_.store().written(prefix);
 }
 
-void drop_launches(core::Effects& effects,
-                   const std::function<bool(const std::string& job)>& unwanted) {
-  const auto drop = [&](std::string& text) {
+namespace {
+
+// Changes the body of each response and direct command to a machine.
+void change_commands(core::Effects& effects, const std::function<void(json& body)>& change) {
+  const auto apply = [&change](std::string& text) {
     auto body = json::parse(text, nullptr, false);
     if (!body.is_object() || !body.contains("Orders")) return;
+    change(body);
+    text = body.dump();
+  };
+  for (auto& reply : effects.replies) apply(reply.body);
+  for (auto& call : effects.calls) apply(call.body);
+}
+
+}  // namespace
+
+void drop_launches(core::Effects& effects,
+                   const std::function<bool(const std::string& job)>& unwanted) {
+  change_commands(effects, [&unwanted](json& body) {
     auto kept = json::array();
     for (const auto& order : body["Orders"]) {
       const auto task = order.value("Lot", "");
@@ -176,23 +190,14 @@
       if (order.value("Verb", "") != "launch" || !unwanted(job)) kept.push_back(order);
     }
     body["Orders"] = kept;
-    text = body.dump();
-  };
-  for (auto& reply : effects.replies) drop(reply.body);
-  for (auto& call : effects.calls) drop(call.body);
+  });
 }
 
 void keep_first_token(core::Effects& effects) {
-  const auto keep = [](std::string& text) {
-    auto body = json::parse(text, nullptr, false);
-    if (!body.is_object() || !body.contains("Orders")) return;
+  change_commands(effects, [](json& body) {
     const auto token = body.value("Warrant", std::uint64_t{0});
     body["Warrant"] = token - (token - 1) % settings::kFencingTokensPerTerm;
-    text = body.dump();
-  };
-  for (auto& reply : effects.replies) keep(reply.body);
-  for (auto& call : effects.calls)
-    if (call.target == core::Target::worker) keep(call.body);
+  });
 }
 
 std::string report(const ClusterSimulation& simulation) {
--- a/tests/simulation/simulated_platform.cpp
+++ b/tests/simulation/simulated_platform.cpp
@@ -294,33 +294,28 @@
     });
     return;
   }
-  // A hanging machine takes a command up when it resumes.
-  const auto attempt = std::make_shared<std::function<void()>>();
-  *attempt = [this, machine, call, back, weak = std::weak_ptr(attempt)] {
-    const auto it = workers_.find(machine);
-    if (it == workers_.end()) return;
-    if (!it->second->hung) {
-      const auto response = it->second->direct(context_.now(), call.path, call.body);
-      if (response.status == 200 && call.path == "/commands")
-        network_.duplicate(context_.scenario.command_repeats,
-                           [this, machine, call] { repeat_command(machine, call); });
-      return back(response.status, response.body);
-    }
-    if (const auto again = weak.lock())
-      context_.events.after(kHungRetryMs, [again] { (*again)(); });
-  };
-  (*attempt)();
+  deliver_command(machine, call, [this, machine, call, back](const simulators::Response& response) {
+    if (response.status == 200 && call.path == "/commands")
+      network_.duplicate(context_.scenario.command_repeats,
+                         [this, machine, call] { repeat_command(machine, call); });
+    back(response.status, response.body);
+  });
 }
 
-void SimulatedPlatform::repeat_command(const std::string& machine, const core::HttpCall& call) {
+void SimulatedPlatform::deliver_command(
+    const std::string& machine, const core::HttpCall& call,
+    const std::function<void(const simulators::Response&)>& executed) {
   const auto it = workers_.find(machine);
   if (it == workers_.end()) return;
-  if (it->second->hung) {
-    context_.events.after(kHungRetryMs, [this, machine, call] { repeat_command(machine, call); });
-    return;
-  }
-  context_.observed.repeated_launches += occurrences(call.body, "\"launch\"");
-  it->second->direct(context_.now(), call.path, call.body);
+  if (!it->second->hung) return executed(it->second->direct(context_.now(), call.path, call.body));
+  context_.events.after(
+      kHungRetryMs, [this, machine, call, executed] { deliver_command(machine, call, executed); });
+}
+
+void SimulatedPlatform::repeat_command(const std::string& machine, const core::HttpCall& call) {
+  deliver_command(machine, call, [this, call](const simulators::Response&) {
+    context_.observed.repeated_launches += occurrences(call.body, "\"launch\"");
+  });
 }
 
 }  // namespace hitchfront::testing
--- a/tests/simulation/simulated_platform.hpp
+++ b/tests/simulation/simulated_platform.hpp
@@ -73,6 +73,9 @@
                    const OnAnswer& back);
   void serve_cloud(const core::HttpCall& call, const OnAnswer& back);
   void serve_machine(const core::HttpCall& call, const OnAnswer& back);
+  // The machine executes the command, when it resumes if it hangs; never if it is gone by then.
+  void deliver_command(const std::string& machine, const core::HttpCall& call,
+                       const std::function<void(const simulators::Response&)>& executed);
   // Delivers another copy of a command that the machine has executed.
   void repeat_command(const std::string& machine, const core::HttpCall& call);
   void check_first_start(const std::string& job, std::uint32_t task, std::uint64_t attempt);
