--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -8,15 +8,16 @@
 
 namespace {
 constexpr int kMachines = 10, kTasks = 4;
-constexpr std::int64_t kBackMs = 5000;     // a controller is back after its end
-constexpr std::int64_t kSlowMs = 600;      // one answer of the state service
-constexpr std::int64_t kCutMs = 30'000;    // a machine is without a network
+constexpr std::int64_t kBackMs = 5000;   // a controller is back after its end
+constexpr std::int64_t kCutMs = 30'000;  // a machine is without a network
 }  // namespace
 
 int main(int, char** argv) {
   Stage stage(small_site(), argv[1]);
-  stage.run_s = [](const std::string&) { return 300.0; };
-  for (int i = 0; i < kMachines; ++i) stage.add_machine("szamolo-4", false, true);
+  stage.run_s = [](const std::string& task) {
+    return task.starts_with("run-000001/") ? 1.0 : 300.0;
+  };
+  for (int i = 0; i < kMachines; ++i) stage.add_machine("ledger-8", false, true);
   stage.start_all();
   const auto all_healthy = [&] {
     for (const auto& node : stage.nodes())
@@ -24,16 +25,25 @@
     return !stage.leader().empty();
   };
   if (!stage.wait_for(all_healthy, 20'000)) return stage.finish(kCannotRun, "not healthy");
-  const auto job = make_job(1, kTasks, 4, 300);
-  stage.upload(job);
-  if (stage.insist("POST", "/work", job.dump()).status != 201)
-    return stage.finish(kCannotRun, "the job was not accepted");
+  // A first job brings the image to every machine. The second one's tasks take a machine each.
+  const auto run = [&](const json& job) {
+    stage.upload(job);
+    return stage.insist("POST", "/work", job.dump()).status == 201;
+  };
+  if (!run(make_job(1, kMachines, 8, 1))) return stage.finish(kCannotRun, "not accepted");
+  const auto first_done = [&] {
+    for (int task = 0; task < kMachines; ++task)
+      if (!stage.completed("run-000001/" + std::to_string(task))) return false;
+    return true;
+  };
+  if (!stage.wait_for(first_done, 20'000)) return stage.finish(kCannotRun, "the first job waits");
+  if (!run(make_job(2, kTasks, 8, 300))) return stage.finish(kCannotRun, "not accepted");
   std::vector<Worker*> busy;
   const auto running = [&] {
     busy.clear();
     for (const auto& machine : stage.machines())
       for (int task = 0; task < kTasks; ++task)
-        if (machine->has("run-000001/" + std::to_string(task))) busy.push_back(machine.get());
+        if (machine->has("run-000002/" + std::to_string(task))) busy.push_back(machine.get());
     return busy.size() == kTasks;
   };
   if (!stage.wait_for(running, 20'000)) return stage.finish(kCannotRun, "the tasks did not start");
@@ -42,16 +52,15 @@
   const auto former = stage.leader();
   if (stage.trouble()) {
     for (const auto& node : stage.nodes()) stage.kill_node(node);
-    // One answer is slow: that to the next leader's first read of the machine types.
-    bool slow = false;
-    stage.store().delay = [&stage, slow, former](const std::string& node,
+    // One request gets no answer: the next leader's first read of the machine types.
+    bool lost = false;
+    stage.store().delay = [&stage, lost, former](const std::string& node,
                                                  const Request& request) mutable -> std::int64_t {
       const bool types = request.path == "/store/flavors" || request.path == "/store/rigs";
-      if (slow || node != former || !types) return 0;
-      slow = true;
-      stage.record("state service: %s of %s is answered %lld ms late", request.path.c_str(),
-                   node.c_str(), static_cast<long long>(kSlowMs));
-      return kSlowMs;
+      if (lost || node != former || !types) return 0;
+      lost = true;
+      stage.record("state service: %s of %s gets no answer", request.path.c_str(), node.c_str());
+      return -1;
     };
     stage.run_for(kBackMs);
     stage.start_all();
--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -24,8 +24,8 @@
 namespace {
 
 constexpr std::int64_t kTickMs = 10;
-constexpr std::int64_t kStoreMs = 5;              // "usually responds in under 10 ms"
-constexpr std::int64_t kReportTimeoutMs = 4000;   // PROTOCOL, as the next two
+constexpr std::int64_t kStoreMs = 5;             // "usually responds in under 10 ms"
+constexpr std::int64_t kReportTimeoutMs = 4000;  // PROTOCOL, as the next two
 constexpr std::int64_t kNextNodeMs = 1000;
 constexpr std::int64_t kChangeMs = 500;
 constexpr std::size_t kChangesKept = 10'000;
@@ -110,16 +110,16 @@
   char ref[32];
   std::snprintf(ref, sizeof(ref), "run-%06d", number);
   return {{"Ref", ref},
-          {"Docket", "eligibility-check"},
-          {"Desk", "ugyfel-portal"},
+          {"Docket", "dispute-match"},
+          {"Desk", "dispute-office"},
           {"Form", "sweep"},
           {"Standing", "standard"},
           {"Lots", lots},
           {"Cpus", cpus},
           {"Cards", 0.0},
-          {"RamGb", 1.0},
+          {"RamGb", 3.4},
           {"Kit", "img-01"},
-          {"ImageGb", 0.1},
+          {"ImageGb", 0.5},
           {"Rigs", nullptr},
           {"Hall", nullptr},
           {"Together", false},
@@ -133,26 +133,22 @@
 
 Site small_site() {
   Site site;
-  site.teams = {{{"name", "ugyfel-portal"},
-                 {"cpus", 16.0},
-                 {"cpus_max", 48.0},
-                 {"gpus", 0.0},
-                 {"gpus_max", 0.0}},
-                {{"name", "statisztika"},
-                 {"cpus", 16.0},
-                 {"cpus_max", 48.0},
-                 {"gpus", 0.0},
-                 {"gpus_max", 0.0}}};
-  site.types = {{{"Name", "szamolo-4"},
-                 {"Cpus", 4.0},
-                 {"Cards", 0.0},
-                 {"RamGb", 16.0},
-                 {"LocalGb", 50.0},
-                 {"PullGbPerS", 0.6},
-                 {"Price", 0.23},
-                 {"LowPrice", 0.05},
-                 {"StartupS", 30.0},
-                 {"Halls", {site.zone}}}};
+  const auto team = [](const char* name, double cpus, double cpus_max) {
+    return json{
+        {"name", name}, {"cpus", cpus}, {"cpus_max", cpus_max}, {"gpus", 0.0}, {"gpus_max", 0.0}};
+  };
+  site.teams = {team("clearing-desk", 104, 352), team("dispute-office", 104, 440),
+                team("tariff-registry", 128, 216)};
+  site.types = json::array({{{"Name", "ledger-8"},
+                             {"Cpus", 8.0},
+                             {"Cards", 0.0},
+                             {"RamGb", 32.0},
+                             {"LocalGb", 70.0},
+                             {"PullGbPerS", 0.8},
+                             {"Price", 0.33},
+                             {"LowPrice", 0.13},
+                             {"StartupS", 40.0},
+                             {"Halls", {site.zone}}}});
   return site;
 }
 
@@ -170,11 +166,10 @@
     stage_.later(kStoreMs + wait, [respond, status, body] { respond(status, body); });
   };
   if (request.path.starts_with("/watch")) {
-    Watch watch{
-        query(request.path, "Under"), number(query(request.path, "After")),
-        now_ms() + static_cast<std::int64_t>(std::min<std::uint64_t>(
-                       60'000, number(query(request.path, "HoldMs")))),
-        answer};
+    Watch watch{query(request.path, "Under"), number(query(request.path, "After")),
+                now_ms() + static_cast<std::int64_t>(std::min<std::uint64_t>(
+                               60'000, number(query(request.path, "HoldMs")))),
+                answer};
     if (!this->answer(watch, watch.until <= now_ms())) watches_.push_back(std::move(watch));
     return;
   }
@@ -212,8 +207,7 @@
       truncated = true;
       break;
     }
-    entries.push_back(
-        {{"K", it->first}, {"V", it->second.value}, {"Stamp", it->second.version}});
+    entries.push_back({{"K", it->first}, {"V", it->second.value}, {"Stamp", it->second.version}});
   }
   return {{"Entries", entries}, {"Truncated", truncated}, {"LedgerRev", revision_}};
 }
@@ -225,8 +219,8 @@
   const json changes = txn.value("Then", json::array());
   if (static_cast<int>(changes.size()) > stage_.site().txn_ops) return {{"error", "too many"}};
   for (const auto& change : changes) {
-    if (change.contains("V") && static_cast<double>(change["V"].dump().size()) >
-                                    stage_.site().value_kb * 1024)
+    if (change.contains("V") &&
+        static_cast<double>(change["V"].dump().size()) > stage_.site().value_kb * 1024)
       return {{"error", "value too large"}};
     const auto lease = change.value("Tenancy", std::uint64_t{0});
     if (lease != 0 && !leases_.contains(lease)) return {{"error", "no such lease"}};
@@ -312,9 +306,8 @@
 }
 
 void Store::answer_watches() {
-  std::erase_if(watches_, [this](const Watch& watch) {
-    return answer(watch, watch.until <= now_ms());
-  });
+  std::erase_if(watches_,
+                [this](const Watch& watch) { return answer(watch, watch.until <= now_ms()); });
 }
 
 void Store::tick() {
@@ -337,10 +330,9 @@
       rented_at(now_ms()),
       stage_(stage),
       name_(std::move(name)) {
-  addr = "127.0.0.1:" + std::to_string(stage.listen([this](const Request& request,
-                                                           const Respond& respond) {
-    handle(request, respond);
-  }));
+  addr = "127.0.0.1:" +
+         std::to_string(stage.listen(
+             [this](const Request& request, const Respond& respond) { handle(request, respond); }));
 }
 
 bool Worker::has(const std::string& task) const {
@@ -359,6 +351,13 @@
   stage_.record("%s: %s ended, %s", name_.c_str(), key.c_str(), cause.c_str());
 }
 
+double Worker::free_cpus() const {
+  double left = cpus;
+  for (const auto& [key, entry] : tasks_)
+    if (entry.state != "ended") left -= stage_.job(key.substr(0, key.find('#'))).value("Cpus", 0.0);
+  return left;
+}
+
 // The task has its image.
 void Worker::begin(const std::string& task, Task& entry) {
   const double run_s = stage_.completed(task) ? 0 : stage_.run_s ? stage_.run_s(task) : 5;
@@ -381,16 +380,15 @@
 std::string Worker::report() {
   json lots = json::array();
   for (const auto& [key, entry] : tasks_) {
-    json lot = {{"Lot", key.substr(0, key.find('#'))},
-                {"Try", entry.attempt},
-                {"Status", entry.state}};
+    json lot = {
+        {"Lot", key.substr(0, key.find('#'))}, {"Try", entry.attempt}, {"Status", entry.state}};
     if (entry.state == "ended") lot["Cause"] = entry.cause;
     if (entry.saved) lot["Kept"] = true;
     lots.push_back(std::move(lot));
   }
-  json body = {{"Post", name_},  {"Addr", addr},         {"Rig", type},
-               {"Hall", zone},   {"Loaners", spot},      {"Tenure", incarnation_},
-               {"Tally", ++seq_}, {"Warrant", token_},   {"RecallS", nullptr},
+  json body = {{"Post", name_},   {"Addr", addr},      {"Rig", type},
+               {"Hall", zone},    {"Loaners", spot},   {"Tenure", incarnation_},
+               {"Tally", ++seq_}, {"Warrant", token_}, {"RecallS", nullptr},
                {"Lots", lots}};
   if (notice_s >= 0) body["RecallS"] = notice_s;
   return body.dump();
@@ -403,8 +401,7 @@
     began_ = true;
     lease_from_ = now;
     next_report_ = now;
-    node_ = static_cast<std::size_t>(stage_.random() *
-                                     static_cast<double>(stage_.nodes().size()));
+    node_ = static_cast<std::size_t>(stage_.random() * static_cast<double>(stage_.nodes().size()));
   }
   if (now - lease_from_ > static_cast<std::int64_t>(stage_.site().lease_s * 1000)) {
     for (auto& [key, entry] : tasks_)
@@ -498,8 +495,7 @@
   const auto arrive = [this, object, respond, alive = std::weak_ptr<int>(alive_)](bool heard) {
     if (!alive.lock() || cut || !up) return;
     const auto token = object["Warrant"].get<std::uint64_t>();
-    const bool refused =
-        token < token_ || object["Tenure"].get<std::uint64_t>() != incarnation_;
+    const bool refused = token < token_ || object["Tenure"].get<std::uint64_t>() != incarnation_;
     stage_.record("%s: /commands %s %s", name_.c_str(), refused ? "409" : "200",
                   object.value("Orders", json::array()).dump().c_str());
     if (!refused) {
@@ -575,9 +571,8 @@
   for (const auto& rig : stage_.site().types)
     if (rig["Name"] == type) rate = rig.value("PullGbPerS", 1.0);
   const bool cached = images_.contains(job.value("Kit", ""));
-  entry.next = now_ms() + (cached ? 0
-                                  : static_cast<std::int64_t>(job.value("ImageGb", 0.0) / rate *
-                                                              1000));
+  entry.next =
+      now_ms() + (cached ? 0 : static_cast<std::int64_t>(job.value("ImageGb", 0.0) / rate * 1000));
   if (cached) begin(task, entry);
 }
 
@@ -649,9 +644,7 @@
 }
 
 int Stage::finish(int outcome, const std::string& why) {
-  const char* text = outcome == kHeld     ? "held"
-                     : outcome == kBroken ? "BROKEN"
-                                          : "could not run";
+  const char* text = outcome == kHeld ? "held" : outcome == kBroken ? "BROKEN" : "could not run";
   record("result: %s: %s", text, why.c_str());
   std::printf("%s: %s: %s\n", folder_.c_str(), text, why.c_str());
   return outcome;
@@ -692,8 +685,8 @@
 void Stage::call(int port, const std::string& method, const std::string& path,
                  const std::string& body, std::int64_t timeout_ms,
                  std::function<void(int status, const std::string& body)> done) {
-  auto* connection = evhttp_connection_base_new(base_, nullptr, "127.0.0.1",
-                                                static_cast<std::uint16_t>(port));
+  auto* connection =
+      evhttp_connection_base_new(base_, nullptr, "127.0.0.1", static_cast<std::uint16_t>(port));
   const timeval timeout{timeout_ms / 1000, timeout_ms % 1000 * 1000};
   evhttp_connection_set_timeout_tv(connection, &timeout);
   auto* pending = new Pending{std::move(done), connection, base_};
@@ -808,12 +801,14 @@
 }
 
 bool Stage::ended_by_itself() {
-  for (const auto& [node, pid] : pids_)
-    if (waitpid(pid, nullptr, WNOHANG) == pid) {
-      record("%s ended by itself", node.c_str());
-      pids_.erase(node);
-      return true;
-    }
+  for (const auto& [node, pid] : pids_) {
+    int status = 0;
+    if (waitpid(pid, &status, WNOHANG) != pid) continue;
+    record("%s ended by itself, %s %d", node.c_str(), WIFSIGNALED(status) ? "signal" : "status",
+           WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
+    pids_.erase(node);
+    return true;
+  }
   return false;
 }
 
@@ -849,11 +844,10 @@
                            const std::string& path, const std::string& body) {
   Answer result;
   bool done = false;
-  ask(node, method, path, body, method == "GET" ? 2000 : kUserTimeoutMs,
-      [&](const Answer& answer) {
-        result = answer;
-        done = true;
-      });
+  ask(node, method, path, body, method == "GET" ? 2000 : kUserTimeoutMs, [&](const Answer& answer) {
+    result = answer;
+    done = true;
+  });
   wait_for([&] { return done; }, kUserTimeoutMs + 1000);
   return result;
 }
@@ -920,8 +914,8 @@
       return respond(200, it->second.dump());
     json names = json::array();
     for (int i = 0; i < body.at("Number").get<int>() && capacity > 0; ++i, --capacity) {
-      auto& machine = add_machine(body.at("Rig").get<std::string>(),
-                                  body.at("Loaners").get<bool>(), false);
+      auto& machine =
+          add_machine(body.at("Rig").get<std::string>(), body.at("Loaners").get<bool>(), false);
       names.push_back(machine.name());
       later(boot_ms, [&machine] { machine.up = !machine.gone; });
     }
@@ -945,14 +939,13 @@
     for (const auto& machine : machines_) {
       if (machine->name() <= after || machine->gone || machine->rented_at > now_ms() - lag)
         continue;
-      posts.push_back(
-          {{"Ref", machine->name()},
-           {"Addr", machine->addr},
-           {"Rig", machine->type},
-           {"Hall", machine->zone},
-           {"Loaners", machine->spot},
-           {"Status", machine->up ? "running" : "booting"},
-           {"AgeS", static_cast<double>(now_ms() - lag - machine->rented_at) / 1000}});
+      posts.push_back({{"Ref", machine->name()},
+                       {"Addr", machine->addr},
+                       {"Rig", machine->type},
+                       {"Hall", machine->zone},
+                       {"Loaners", machine->spot},
+                       {"Status", machine->up ? "running" : "booting"},
+                       {"AgeS", static_cast<double>(now_ms() - lag - machine->rented_at) / 1000}});
     }
     return respond(200, json{{"Posts", posts}, {"Truncated", false}}.dump());
   }
--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -34,7 +34,7 @@
 // Settings of the deployment: those of one of the users' site files, in small.
 struct Site {
   std::vector<std::string> nodes = {"hitchpost-0", "hitchpost-1", "hitchpost-2"};
-  std::string zone = "east";
+  std::string zone = "amsterdam-west";
   double report_s = 2, lease_s = 12, cancel_s = 37;
   double state_rps = 200, state_write_rps = 80, value_kb = 8;
   int txn_ops = 24;
@@ -45,9 +45,9 @@
   json types = json::array();  // as in GET /flavors
 };
 
-// Machines and teams after one of the users' sites, in small: one type of four CPUs.
+// The site vran-clearing in small: its first zone, its teams, and one of its machine types.
 Site small_site();
-// An array of that site, with its image of 0.1 GB.
+// An array of that site, with an image of 0.5 GB.
 json make_job(int number, int lots, double cpus, double run_s);
 
 class Stage;
@@ -113,11 +113,12 @@
   std::string report();
   const std::string& name() const { return name_; }
   bool has(const std::string& task) const;  // on the machine now, by PROTOCOL
-  bool up = false;                          // begins to report when set
-  bool cut = false;                         // without a network
-  bool gone = false;                        // taken back by the cloud
-  double notice_s = -1;                     // announced, in seconds from now
-  int answered = 0;                         // reports that got a 200 which it accepted
+  double free_cpus() const;
+  bool up = false;       // begins to report when set
+  bool cut = false;      // without a network
+  bool gone = false;     // taken back by the cloud
+  double notice_s = -1;  // announced, in seconds from now
+  int answered = 0;      // reports that got a 200 which it accepted
   std::uint64_t token() const { return token_; }
   std::string type, zone, addr;
   double cpus, memory_gb;
@@ -199,8 +200,8 @@
   Store& store() { return store_; }
   Worker& add_machine(const std::string& type, bool spot, bool up);
   const std::vector<std::unique_ptr<Worker>>& machines() const { return machines_; }
-  int capacity = 0;                // machines that the cloud still has
-  std::int64_t boot_ms = 30'000;   // of a machine that is rented
+  int capacity = 0;               // machines that the cloud still has
+  std::int64_t boot_ms = 30'000;  // of a machine that is rented
   const Site& site() const { return site_; }
   // What a job's tasks do.
   json job(const std::string& task) const;  // as submitted; null: unknown
