--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -120,6 +120,7 @@
   double notice_s = -1;  // announced, in seconds from now
   int answered = 0;      // reports that got a 200 which it accepted
   std::uint64_t token() const { return token_; }
+  std::int64_t last_sent() const { return last_sent_; }  // its last report, by now_ms()
   std::string type, zone, addr;
   double cpus, memory_gb;
   bool spot;
