simulation: reads may be late or lost, machines cut after a response

The simulation could delay every answer of the state service, but not lose the answer to one read, and it could cut machines off at a set time, but not once they have been answered.

Scenario::late_reads: answers to controllers' reads of the state service or the cloud, by path and time, come so much later or never. Scenario::cuts_after_responses: a machine with tasks loses the network once so many of its heartbeats have been answered.

--- a/tests/simulation/controller_cluster.cpp
+++ b/tests/simulation/controller_cluster.cpp
@@ -1,5 +1,7 @@
 #include "simulation/controller_cluster.hpp"
 
+#include <algorithm>
+
 #include "settings/platform.hpp"
 
 namespace hitchfront::testing {
@@ -216,7 +218,7 @@
     note_logs(controller, effects);
     for (const auto& answer : effects.replies) reply(controller, answer);
     for (const auto& message : effects.peer_messages) send_to_peer(controller, message);
-    for (auto& c : effects.calls) call(controller, std::move(c));
+    for (const auto& c : effects.calls) call(controller, c);
   }
 }
 
@@ -271,7 +273,7 @@
   return std::nullopt;
 }
 
-void ControllerCluster::call(SimulatedController& controller, core::HttpCall call) {
+void ControllerCluster::call(SimulatedController& controller, const core::HttpCall& call) {
   const auto finish = once([this, &controller, process = controller.process, id = call.id](
                                int status, const std::string& body) {
     when_awake(controller, [this, &controller, process, id, status, body] {
@@ -284,11 +286,13 @@
   context_.events.after(call.timeout_ms, give_up);
   check_rental_name(controller, call);
   const auto to = destination(call);
-  const auto back = [this, name = controller.name, to, finish, give_up](int status,
-                                                                        const std::string& body) {
+  const auto back = [this, name = controller.name, to, finish, give_up,
+                     late_read = find_late_read(call)](int status, const std::string& body) {
     const auto answer = [finish, status, body] { finish(status, body); };
     const auto& scenario = context_.scenario;
     const auto now = context_.now();
+    if (late_read != nullptr && late_read->delay_ms == Scenario::LateRead::kLost) return;
+    if (late_read != nullptr) return context_.events.after(late_read->delay_ms, answer);
     if (to == "state" && now >= scenario.store_delay_from && now < scenario.store_delay_to)
       return context_.events.after(context_.random.between(0, scenario.store_delay_ms), answer);
     network_.send(to, name, answer, give_up);
@@ -298,6 +302,16 @@
       give_up);
 }
 
+const Scenario::LateRead* ControllerCluster::find_late_read(const core::HttpCall& call) const {
+  if (call.target == core::Target::worker || call.method != core::Method::get) return nullptr;
+  const auto& late = context_.scenario.late_reads;
+  const auto it = std::find_if(late.begin(), late.end(), [&](const auto& read) {
+    return context_.now() >= read.from && context_.now() < read.to &&
+           call.path.starts_with(read.path);
+  });
+  return it == late.end() ? nullptr : &*it;
+}
+
 // Each process names its rentals anew.
 void ControllerCluster::check_rental_name(const SimulatedController& controller,
                                           const core::HttpCall& call) {
--- a/tests/simulation/controller_cluster.hpp
+++ b/tests/simulation/controller_cluster.hpp
@@ -92,7 +92,9 @@
   void send_to_peer(SimulatedController& controller, const core::OutgoingPeerMessage& message);
   // By the scenario's late messages; none: it is not late.
   std::optional<std::int64_t> peer_message_delay(const std::string& bytes) const;
-  void call(SimulatedController& controller, core::HttpCall call);
+  // By the scenario's late reads; null: it is not late.
+  const Scenario::LateRead* find_late_read(const core::HttpCall& call) const;
+  void call(SimulatedController& controller, const core::HttpCall& call);
   void check_rental_name(const SimulatedController& controller, const core::HttpCall& call);
 
   SimulationContext& context_;
--- a/tests/simulation/fault_injector.cpp
+++ b/tests/simulation/fault_injector.cpp
@@ -77,6 +77,8 @@
   for (const auto& event : s.events)
     until(event.when + lasts_ms(parse_fault(event.what), s.restart_ms));
   for (const auto& version : s.versions) until(version.when + s.restart_ms);
+  for (const auto& cut : s.cuts_after_responses) until(cut.to + cut.ms);
+  for (const auto& read : s.late_reads) until(read.to + std::max<std::int64_t>(0, read.delay_ms));
   until(s.late_writes_to + kLateWriteLastsMs);
   return quiet;
 }
--- a/tests/simulation/observations.hpp
+++ b/tests/simulation/observations.hpp
@@ -18,6 +18,7 @@
   std::size_t leases_lost = 0;             // workers' incarnations that ended with their lease
   std::size_t busy_returned = 0;           // machines returned with tasks on them
   std::size_t machines_most = 0;
+  std::size_t machines_cut = 0;                          // by Scenario::cuts_after_responses
   std::size_t direct_commands = 0, direct_launches = 0;  // requests, and launches in them
   std::size_t repeated_launches = 0;                     // launches in copies of executed requests
   std::unordered_set<std::uint64_t> started_attempts;
--- a/tests/simulation/scenario.hpp
+++ b/tests/simulation/scenario.hpp
@@ -80,6 +80,15 @@
   std::vector<Cut> unreachable;
   // Machines (b) that reach no controller, while commands reach them and are answered.
   std::vector<Cut> outbound_cuts;
+  // Machines lose the network for `ms` as soon as they have tasks and so many of their heartbeats
+  // have been answered in this time. `share`: of all machines.
+  struct CutAfterResponses {
+    std::int64_t from, to;
+    int responses = 1;
+    std::int64_t ms = 0;
+    double share = 1;
+  };
+  std::vector<CutAfterResponses> cuts_after_responses;
   // Share of workers' heartbeats of which a copy comes once more, to any controller, and the delays
   // of the copies.
   double duplicates = 0;
@@ -114,6 +123,15 @@
   bool lose_only_answers = false;                         // carried out at once instead
   std::string late_write_prefix;                          // of those that write such a key
 
+  // Answers to controllers' reads of the state service or the cloud whose path begins with `path`,
+  // sent in this time, come so much later, or never.
+  struct LateRead {
+    static constexpr std::int64_t kLost = -1;
+    std::string path;
+    std::int64_t from, to, delay_ms;
+  };
+  std::vector<LateRead> late_reads;
+
   // Counts Observations::cancelled_starts_on_their_way and _launched_knowing (costs time).
   bool records_launches = false;
 
--- a/tests/simulation/simulated_platform.cpp
+++ b/tests/simulation/simulated_platform.cpp
@@ -185,8 +185,10 @@
       *controllers_.find(heartbeat.node), machine, core::Method::post, "/agent/beat",
       heartbeat.body,
       [this, machine, id = heartbeat.id](int status, const std::string& body) {
-        if (const auto it = workers_.find(machine); it != workers_.end())
-          it->second->answered(context_.now(), id, status, body);
+        const auto it = workers_.find(machine);
+        if (it == workers_.end()) return;
+        it->second->answered(context_.now(), id, status, body);
+        if (status == 200) cut_after_response(*it->second);
       },
       kHeartbeatTimeoutMs);
   const auto& scenario = context_.scenario;
@@ -203,6 +205,18 @@
   });
 }
 
+void SimulatedPlatform::cut_after_response(const simulators::Worker& worker) {
+  const auto& name = worker.place().name;
+  auto& scenario = context_.scenario;
+  for (std::size_t i = 0; i < scenario.cuts_after_responses.size(); ++i) {
+    const auto& cut = scenario.cuts_after_responses[i];
+    if (context_.now() < cut.from || context_.now() >= cut.to || worker.tasks().empty()) continue;
+    if (++responses_[{i, name}] != cut.responses || !context_.random.chance(cut.share)) continue;
+    scenario.cuts.push_back({context_.now(), context_.now() + cut.ms, name, "*", false});
+    ++context_.observed.machines_cut;
+  }
+}
+
 void SimulatedPlatform::deliver_held_heartbeats() {
   for (const auto& held : std::exchange(held_heartbeats_, {}))
     for (const auto& controller : controllers_.all())
--- a/tests/simulation/simulated_platform.hpp
+++ b/tests/simulation/simulated_platform.hpp
@@ -67,6 +67,8 @@
   void task_started(const simulators::Worker::Place& place, const std::string& job,
                     std::uint32_t task);
   double run_s(const std::string& job, std::uint32_t task) const;
+  // See Scenario::CutAfterResponses.
+  void cut_after_response(const simulators::Worker& worker);
   void send_heartbeat(const std::string& machine, const simulators::Worker::Outgoing& heartbeat);
 
   void serve_store(const SimulatedController& from, const core::HttpCall& call,
@@ -91,6 +93,8 @@
   Workers workers_;
   std::set<std::string> faulty_;                                      // machines
   std::vector<std::pair<std::string, std::string>> held_heartbeats_;  // machine, body
+  // Heartbeats answered in the time of Scenario::cuts_after_responses[i], by i and machine.
+  std::map<std::pair<std::size_t, std::string>, int> responses_;
 };
 
 }  // namespace hitchfront::testing
