takeover: tasks are restored when a machine type is learned late

All controllers end; the next leader's first read of the machine types gets no answer; a machine is cut off after its first answered heartbeat; a lease after the takeover its task is started elsewhere, while it goes on running there.

Cause: without its type a machine of the allocation log can't be registered, so its tasks are unknown until a lease has passed since the takeover. When the types arrived nothing went back to the kept entries. The machine's next heartbeat registered it without tasks (the log names every launch, so a heartbeat of before the term adds none), its lease was renewed from then on, and reconciliation gave its tasks up by the older time.

Fix: Leader::set_types hands the kept entries back to the takeover, which restores the machines whose types are known now, before any of their heartbeats can be answered. Until then they are refused, so the time from the takeover holds for what stays unknown. takeover.types_learned says so in the log.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -135,7 +135,7 @@
   leader_->set_step_rate(replay_steps_per_ms_);
   leader_->set_defer_responses(!near_connection_limit_);
   stored_types_level_ = 0;
-  if (!types_.empty()) leader_->set_types(types_);
+  if (!types_.empty()) leader_->set_types(now, types_);
   leader_->begin(now, feature_levels_.lost());
   if (feature_levels_.lost()) {
     recovery_ = std::make_unique<StateRecovery>(
@@ -388,10 +388,10 @@
                 });
 }
 
-void Controller::apply_types(Ms, std::vector<wire::MachineType> types) {
+void Controller::apply_types(Ms now, std::vector<wire::MachineType> types) {
   types_ = std::move(types);
   job_api_.set_types(types_);
-  if (leader_) leader_->set_types(types_);
+  if (leader_) leader_->set_types(now, types_);
 }
 
 void Controller::request(Ms now, std::int64_t wall_ms, std::uint64_t request, Method method,
--- a/src/leader/allocation_recorder.hpp
+++ b/src/leader/allocation_recorder.hpp
@@ -1,10 +1,12 @@
 // Write-ahead logging of launches: every launch is in the stored allocation log before it is put
 // into a response. The safety argument is in docs/safety.md, "The allocation log".
 #pragma once
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "allocation/allocation_log.hpp"
@@ -44,9 +46,14 @@
   // kept, and the chunk is overwritten or deleted.
   void adopt(const StoredChunk& chunk, bool trusted);
   // Keeps the stored entry of a machine whose type is unknown here. It is written back unchanged
-  // until forget_unknown_types() is called.
+  // until it is taken, or forget_unknown_types() is called.
   void keep_unknown_type(const wire::MachineAllocation& machine);
   bool has_unknown_types() const { return !unknown_types_.empty(); }
+  std::size_t unknown_type_count() const { return unknown_types_.size(); }
+  // Returns the kept entries, by machine, and keeps none of them. The caller has to restore each
+  // machine or keep its entry again before anything is written.
+  using StoredMachines = std::map<std::string, wire::MachineAllocation>;
+  StoredMachines take_unknown_types() { return std::exchange(unknown_types_, {}); }
   void forget_unknown_types(Ms now);
 
   void add(Ms now, const std::string& machine);
@@ -82,7 +89,7 @@
   std::vector<StoredChunk> loaded_chunks_;  // read by load() so far
   // When to read each chunk whose stored version is unknown.
   std::map<std::uint32_t, Ms> reread_at_;
-  std::map<std::string, wire::MachineAllocation> unknown_types_;
+  StoredMachines unknown_types_;
   // The log becomes complete when every machine has been stored by a later batch than this. 0: it
   // is complete already, or rewrite_as_complete() has not been called.
   std::uint64_t complete_after_batch_ = 0;
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -55,10 +55,11 @@
   for (auto* machine : state_.machines.all()) messenger_.refuse_deferred(*machine, "no leader");
 }
 
-void Leader::set_types(const std::vector<wire::MachineType>& types) {
+void Leader::set_types(Ms now, const std::vector<wire::MachineType>& types) {
   const bool first = state_.catalog.empty();
   state_.catalog.update(types);
   for (auto& [id, job] : state_.jobs) jobs_.resolve_names(*job);
+  takeover_.restore_learned_types(now);
   if (first) state_.placement_needed = true;
 }
 
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -78,7 +78,7 @@
   void on_job_cancelled(Ms now, const std::string& job) { jobs_.cancel_if_known(now, job); }
   // The cloud's machine types; called again whenever they change. Machines can't be registered
   // before the first call.
-  void set_types(const std::vector<wire::MachineType>& types);
+  void set_types(Ms now, const std::vector<wire::MachineType>& types);
 
   // Advances the policy replay by at most `steps`, between inputs. Returns the steps taken.
   std::uint64_t replay(Ms now, std::uint64_t steps) { return policies_.replay(now, steps); }
--- a/src/leader/takeover.cpp
+++ b/src/leader/takeover.cpp
@@ -86,20 +86,25 @@
     if (job.phase[task] == TaskPhase::waiting) state_.placements.mark_unknown(job, task);
 }
 
-void Takeover::log_loaded() const {
-  std::size_t unknown = 0, placed = 0;
+Takeover::TaskTotals Takeover::task_totals() const {
+  TaskTotals totals;
   for (const auto& [id, job] : state_.jobs) {
-    placed += job->placed;
-    unknown += job->unknown;
+    totals.placed += job->placed;
+    totals.unknown += job->unknown;
   }
+  return totals;
+}
+
+void Takeover::log_loaded() const {
   const auto& machines = state_.machines.all();
   const auto recovered = std::count_if(machines.begin(), machines.end(),
                                        [](const Machine* machine) { return machine->recovered; });
   const char* const log_status = context_.election.allocation_log_complete() ? "whole"
                                  : recorder_.enabled()                       ? "partial"
                                                                              : "none";
+  const auto totals = task_totals();
   context_.log(Event::takeover_loaded, context_.term, state_.jobs.size(), log_status, recovered,
-               placed, unknown);
+               totals.placed, totals.unknown);
 }
 
 // --- launches of earlier leaders ---
@@ -124,10 +129,16 @@
   machine->recovered = machine->recovered || stored.up || !stored.tasks.empty();
   machine->lease_expires_at = reconciliation_.ends_at();
   machine->billed_since = std::min(now, context_.to_steady(stored.billed_since_s * 1000));
+  for_each_task(stored,
+                [&](JobState& job, std::uint32_t task) { restore_task(now, *machine, job, task); });
+}
+
+void Takeover::for_each_task(const wire::MachineAllocation& stored,
+                             const std::function<void(JobState& job, std::uint32_t task)>& visit) {
   for (const auto& group : stored.tasks)
     if (auto* job = state_.jobs.find(group.job))
       for (const auto task : group.tasks)
-        if (task < job->spec.tasks) restore_task(now, *machine, *job, task);
+        if (task < job->spec.tasks) visit(*job, task);
 }
 
 void Takeover::restore_task(Ms now, Machine& machine, JobState& job, std::uint32_t task) {
@@ -148,16 +159,25 @@
 }
 
 // Without its type the machine can't be added to the machine table. Its tasks may be running, and
-// stay unknown until its lease has expired.
+// stay unknown until its type is learned or its lease has expired. Its heartbeats are refused
+// meanwhile, so its lease is not renewed.
 void Takeover::restore_unknown_type(const wire::MachineAllocation& stored) {
   recorder_.keep_unknown_type(stored);
-  for (const auto& group : stored.tasks) {
-    auto* job = state_.jobs.find(group.job);
-    if (job == nullptr) continue;
-    for (const auto task : group.tasks)
-      if (task < job->spec.tasks && job->phase[task] == TaskPhase::waiting)
-        state_.placements.mark_unknown(*job, task);
-  }
+  for_each_task(stored, [this](JobState& job, std::uint32_t task) {
+    if (job.phase[task] == TaskPhase::waiting) state_.placements.mark_unknown(job, task);
+  });
+}
+
+void Takeover::restore_learned_types(Ms now) {
+  if (!state_.loaded || !reconciliation_.open() || !recorder_.has_unknown_types()) return;
+  const auto entries = recorder_.take_unknown_types();
+  for (const auto& [name, stored] : entries) restore_machine(now, stored);
+  state_.placement_needed = true;
+  const auto still_unknown = recorder_.unknown_type_count();
+  if (still_unknown == entries.size()) return;
+  const auto totals = task_totals();
+  context_.log(Event::takeover_types_learned, context_.term, entries.size() - still_unknown,
+               totals.placed, totals.unknown);
 }
 
 // --- reconciliation ---
--- a/src/leader/takeover.hpp
+++ b/src/leader/takeover.hpp
@@ -1,6 +1,9 @@
 // Failover: a new leader reads the stored state, restores the placements of tasks that earlier
 // leaders may have launched, and reconciles them with the workers' heartbeats.
 #pragma once
+#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +44,10 @@
   // Reads unfinished jobs, their progress and the allocation log, in this order. Each read is
   // repeated until it succeeds.
   void load(Ms now) { load_jobs(now, "", now); }
+  // Restores the machines of the allocation log whose types the catalog did not have when the log
+  // was read. Call whenever the catalog changes, before any heartbeat is processed: the response to
+  // a machine of a known type renews the lease of tasks that are still unknown.
+  void restore_learned_types(Ms now);
   // Closes reconciliation once every lease granted by an earlier leader has expired: unknown tasks
   // that no machine has listed are not running, and return to the queue.
   void close_reconciliation_if_due(Ms now);
@@ -58,7 +65,14 @@
   void restore_machine(Ms now, const wire::MachineAllocation& stored);
   void restore_task(Ms now, Machine& machine, JobState& job, std::uint32_t task);
   void restore_unknown_type(const wire::MachineAllocation& stored);
+  // Calls `visit` for each task of the entry whose job is unfinished.
+  void for_each_task(const wire::MachineAllocation& stored,
+                     const std::function<void(JobState& job, std::uint32_t task)>& visit);
   void mark_unknown_tasks(JobState& job);
+  struct TaskTotals {
+    std::size_t placed = 0, unknown = 0;
+  };
+  TaskTotals task_totals() const;
   void log_loaded() const;
 
   LeaderContext& context_;
--- a/src/telemetry/events.hpp
+++ b/src/telemetry/events.hpp
@@ -37,6 +37,7 @@
   store_writes,
   store_too_large,
   takeover_loaded,
+  takeover_types_learned,
   takeover_reconciled,
   allocation_unreadable,
   allocation_log_complete,
--- a/src/telemetry/events_leader.cpp
+++ b/src/telemetry/events_leader.cpp
@@ -28,6 +28,10 @@
            "the new leader has read the store: `placed` tasks may be on `machines` of the "
            "allocation log; where that is not `whole`, `unknown` tasks may be anywhere until "
            "found, for up to `lease_s`"),
+    single(Event::takeover_types_learned, Level::info, "takeover.types_learned",
+           {integer("term"), integer("machines"), integer("placed"), integer("unknown")},
+           "the machine types of so many `machines` of the allocation log became known after it "
+           "was read, and their tasks are placed there now; totals of all tasks"),
     single(Event::takeover_reconciled, Level::info, "takeover.reconciled",
            {integer("term"), number("seconds"), integer("silent"), integer("unplaced")},
            "every machine of the allocation log has sent a heartbeat, or its lease has expired "
