takeover: a task stays unknown if a machine of unknown type may have it

The allocation log may name a task on two machines: its entry on the first is written again up to two seconds after it was proved gone there, the launch on the second at once. If a takeover knows the type of the first machine alone, the task is started elsewhere once the first proves it absent, while it runs on the second.

Cause: an entry of unknown type marked only tasks that were waiting. One that another entry had placed was not recorded as doubtful, so removing that placement made it waiting.

Fix: PlacementLedger::mark_unknown records the doubt for a placed task too, and makes it unknown when its last placement is removed. When types are learned the doubt is taken back for the entries that are restored, and stays for those that are not.

--- a/src/leader/takeover.cpp
+++ b/src/leader/takeover.cpp
@@ -164,13 +164,16 @@
 void Takeover::restore_unknown_type(const wire::MachineAllocation& stored) {
   recorder_.keep_unknown_type(stored);
   for_each_task(stored, [this](JobState& job, std::uint32_t task) {
-    if (job.phase[task] == TaskPhase::waiting) state_.placements.mark_unknown(job, task);
+    state_.placements.mark_unknown(job, task);
   });
 }
 
 void Takeover::restore_learned_types(Ms now) {
   if (!state_.loaded || !reconciliation_.open() || !recorder_.has_unknown_types()) return;
   const auto entries = recorder_.take_unknown_types();
+  for (const auto& [name, stored] : entries)
+    for_each_task(stored, PlacementLedger::mark_reconciled);
+  // Tasks of machines whose types are still unknown are marked as unknown again.
   for (const auto& [name, stored] : entries) restore_machine(now, stored);
   state_.placement_needed = true;
   const auto still_unknown = recorder_.unknown_type_count();
--- a/src/placement/placement_ledger.cpp
+++ b/src/placement/placement_ledger.cpp
@@ -86,8 +86,10 @@
 }
 
 void PlacementLedger::mark_unknown(JobState& job, std::uint32_t task) {
-  job.set_phase(task, TaskPhase::unknown);
+  if (job.phase[task] == TaskPhase::done) return;
   job.unreconciled.insert(task);
+  if (job.phase[task] != TaskPhase::waiting) return;
+  job.set_phase(task, TaskPhase::unknown);
   quotas_.add_usage(job, 1);
 }
 
--- a/src/placement/placement_ledger.hpp
+++ b/src/placement/placement_ledger.hpp
@@ -34,9 +34,12 @@
   static void set_stage(Placement& placement, PlacementStage stage);
   static void set_in_flight(Placement& placement, bool in_flight);
 
-  // Marks a waiting task that an earlier leader may have launched. It counts against its team's
-  // limit.
+  // Marks a task that an earlier leader may have launched on a machine that is not known. Unless it
+  // has a placement as well, it becomes unknown and counts against its team's limit; otherwise it
+  // becomes unknown when its last placement is removed.
   void mark_unknown(JobState& job, std::uint32_t task);
+  // Every machine that the task may be on is known from now on: the caller adds its placements.
+  static void mark_reconciled(JobState& job, std::uint32_t task) { job.unreconciled.erase(task); }
   // Call when the job's unknown tasks are certainly on no machine: they become waiting.
   void requeue_unknown(JobState& job);
   void mark_done(JobState& job, std::uint32_t task);
--- a/tests/takeover_reads_test.cpp
+++ b/tests/takeover_reads_test.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "simulation_test.hpp"
+#include "wire/allocation.hpp"
 
 namespace hitchfront::testing {
 namespace {
@@ -55,6 +57,60 @@
   }
 }
 
+// Changes what `effects` put under keys with the prefix.
+void change_stored(core::Effects& effects, const std::string& prefix,
+                   const std::function<void(nlohmann::json& value)>& change) {
+  for (auto& call : effects.calls) {
+    if (call.path != "/txn" || call.body.find("\"Set\":\"" + prefix) == std::string::npos) continue;
+    auto body = nlohmann::json::parse(call.body);
+    for (auto& operation : body["Then"])
+      if (operation.value("Set", "").starts_with(prefix) && !operation["V"].empty())
+        change(operation["V"]);
+    call.body = body.dump();
+  }
+}
+
+void keep_small_type(nlohmann::json& stored_types) {
+  auto kept = nlohmann::json::array();
+  for (const auto& type : stored_types["Rigs"])
+    if (type["Name"] == "small") kept.push_back(type);
+  stored_types["Rigs"] = kept;
+}
+
+// Names the tasks of each chunk's large machines on one of its small machines as well: an entry
+// that has not been written again since the tasks were proved gone there.
+void add_outdated_entries(nlohmann::json& chunk) {
+  auto machines = wire::decode_allocations(chunk.get<std::string>()).value();
+  const auto small = std::find_if(machines.begin(), machines.end(), [](const auto& machine) {
+    return machine.type == "small" && machine.up && machine.tasks.empty();
+  });
+  if (small == machines.end()) return;
+  for (const auto& machine : machines)
+    if (machine.type == "large")
+      small->tasks.insert(small->tasks.end(), machine.tasks.begin(), machine.tasks.end());
+  chunk = wire::encode_allocations(machines);
+}
+
+// The takeover knows some of the types, and the allocation log names a task on two machines: its
+// absence from the one of a known type started it elsewhere while it ran on the other.
+TEST(TakeoverReads, ATaskThatMayBeOnAMachineOfUnknownTypeTooIsNotStartedElsewhere) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    auto scenario = takeover_scenario(seed);
+    scenario.cuts_after_responses.clear();
+    scenario.late_reads = {{"/flavors", kCrashMs, kBackMs + 2000, 3900}};
+    scenario.mutant = [](std::int64_t now, int, core::Effects& effects) {
+      if (now > kCrashMs) return;
+      change_stored(effects, "rigs", keep_small_type);
+      change_stored(effects, "roster/", add_outdated_entries);
+    };
+    ClusterSimulation simulation(scenario);
+    SCOPED_TRACE(simulation.description());
+    simulation.run();
+    EXPECT_TRUE(has_log_line(simulation, " takeover.types_learned "));
+    expect_sound(simulation);
+  }
+}
+
 // Each thing that a takeover reads, late or lost at all controllers.
 class LateTakeoverRead : public ::testing::TestWithParam<ScenarioVariant> {};
 TEST_P(LateTakeoverRead, BreaksNoRule) {
